--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,117 @@
+// Package agent speaks with the workers: it serves their beats and sends them
+// direct commands.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"cedardoor/wire"
+)
+
+// Client sends direct commands to workers.
+type Client struct{ http *http.Client }
+
+// NewClient makes a Client that keeps at most conns connections open.
+func NewClient(conns int) *Client {
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxConnsPerHost:     1,
+			MaxIdleConnsPerHost: 1,
+			MaxIdleConns:        conns,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Do sends commands. definite is false when the worker may have executed them
+// or may still do so; rep is the worker's report, if it gave one.
+func (c *Client) Do(ctx context.Context, endpoint string, do wire.Do) (rep *wire.Beat, definite bool, err error) {
+	raw, err := wire.Marshal(do)
+	if err != nil {
+		return nil, true, fmt.Errorf("encode commands: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+wire.PathDo, bytes.NewReader(raw))
+	if err != nil {
+		return nil, true, fmt.Errorf("commands to %s: %w", endpoint, err)
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	req.GetBody = nil // never repeated behind the books' back
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		// A connection attempt that was given up does not complete later.
+		dial := errors.As(err, &op) && op.Op == "dial"
+		return nil, dial, fmt.Errorf("commands to %s: %w", endpoint, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+	if err != nil {
+		return nil, false, fmt.Errorf("commands to %s: %w", endpoint, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+		b, err := wire.DecodeBeat(body)
+		if err != nil {
+			return nil, resp.StatusCode == http.StatusConflict, fmt.Errorf("report of %s: %w", endpoint, err)
+		}
+		return &b, true, nil
+	case http.StatusBadRequest:
+		return nil, true, fmt.Errorf("commands to %s: refused as malformed", endpoint)
+	}
+	return nil, false, fmt.Errorf("commands to %s: status %d", endpoint, resp.StatusCode)
+}
+
+// Steward is the leader's side of the beats.
+type Steward interface {
+	// Beat takes a report in; ok is false when this node may not answer it.
+	Beat(rep *wire.Beat) (ans wire.BeatAnswer, ok bool)
+	// Leader names who may, empty when unknown or this node.
+	Leader() string
+}
+
+// ServeBeat handles POST of a worker's report.
+func ServeBeat(s Steward) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+		if err != nil {
+			Write(w, http.StatusBadRequest, wire.Error{Error: "body too large or cut short"})
+			return
+		}
+		rep, err := wire.DecodeBeat(body)
+		if err != nil {
+			Write(w, http.StatusBadRequest, wire.Error{Error: err.Error()})
+			return
+		}
+		if ans, ok := s.Beat(&rep); ok {
+			Write(w, http.StatusOK, ans)
+			return
+		}
+		if leader := s.Leader(); leader != "" {
+			Write(w, http.StatusMisdirectedRequest, wire.Redirect{Steward: leader})
+			return
+		}
+		Write(w, http.StatusServiceUnavailable, wire.Error{Error: "no leader"})
+	}
+}
+
+// Write sends a MessagePack answer.
+func Write(w http.ResponseWriter, status int, v any) {
+	raw, err := wire.Marshal(v)
+	if err != nil {
+		http.Error(w, "encode", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", wire.ContentType)
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,305 @@
+// Package api serves the users: submissions, queries, aborts and health.
+// Any node answers them from durable truth.
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cedardoor/agent"
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// errUnknownJob means that a job was never accepted.
+var errUnknownJob = errors.New("no such job")
+
+// Users answers users' requests.
+type Users struct {
+	Store   *store.Client
+	Clock   *clock.Clock
+	Node    string
+	Teams   []config.Team
+	Catalog func(ctx context.Context) (wire.Catalog, bool)
+	// Count tells how many tasks of a job are done and running, for display.
+	Count func(ctx context.Context, uid string) (done, running int)
+	Log   *slog.Logger
+	// Accepted and Refused, if set, are told of each submission's outcome.
+	Observe func(kind string, took clock.Micros, status int)
+
+	mu   sync.Mutex // guards over
+	over map[string]store.OverRecord
+}
+
+// maxOver bounds the cache of final states, which never change.
+const maxOver = 20_000
+
+// Routes adds the users' paths to a router.
+func (u *Users) Routes(r chi.Router) {
+	r.Post(wire.PathRuns, u.submit)
+	r.Get(wire.PathRuns+"/{uid}", u.query)
+	r.Post(wire.PathRuns+"/{uid}/"+wire.SuffixAbort, u.abort)
+	r.Get(wire.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+}
+
+func refuse(w http.ResponseWriter, status int, after int, why string) {
+	if after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(after))
+	}
+	agent.Write(w, status, wire.Error{Error: why})
+}
+
+// unavailable answers at once that the request can't be taken now, and when to come back.
+func (u *Users) unavailable(w http.ResponseWriter, err error) {
+	u.Log.Debug("request refused", "error", err)
+	refuse(w, http.StatusServiceUnavailable, 1, "try again")
+}
+
+// lookup reads what is durably known of a job. An unfinished job is looked for
+// before a finished one: a job moves only that way, in one transaction.
+func (u *Users) lookup(ctx context.Context, uid string) (job *wire.Row, over *store.OverRecord, err error) {
+	u.mu.Lock()
+	rec, cached := u.over[uid]
+	u.mu.Unlock()
+	if cached {
+		return nil, &rec, nil
+	}
+	row, found, err := u.Store.Get(ctx, store.Normal, store.JobKey(uid))
+	if err != nil {
+		return nil, nil, err
+	}
+	if found {
+		return &row, nil, nil
+	}
+	row, found, err = u.Store.Get(ctx, store.Normal, store.OverKey(uid))
+	if err != nil {
+		return nil, nil, err
+	}
+	if !found {
+		return nil, nil, errUnknownJob
+	}
+	if err := wire.Unmarshal(row.Value, &rec); err != nil {
+		return nil, nil, fmt.Errorf("final state of %s: %w", uid, err)
+	}
+	u.remember(uid, rec)
+	return nil, &rec, nil
+}
+
+func (u *Users) remember(uid string, rec store.OverRecord) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.over == nil || len(u.over) >= maxOver {
+		u.over = map[string]store.OverRecord{}
+	}
+	u.over[uid] = rec
+}
+
+func (u *Users) view(ctx context.Context, uid string) (wire.View, error) {
+	_, over, err := u.lookup(ctx, uid)
+	if err != nil {
+		return wire.View{}, err
+	}
+	if over != nil {
+		v := wire.View{UID: uid, Status: over.Status}
+		if over.Status == wire.JobDone {
+			v.Done = over.Pieces
+		}
+		return v, nil
+	}
+	done, running := u.Count(ctx, uid)
+	v := wire.View{UID: uid, Status: wire.JobQueued, Done: done, Running: running}
+	if running > 0 {
+		v.Status = wire.JobRunning
+	}
+	return v, nil
+}
+
+func (u *Users) submit(w http.ResponseWriter, r *http.Request) {
+	began := u.Clock.Now()
+	status := u.trySubmit(w, r)
+	if u.Observe != nil {
+		u.Observe("submit", u.Clock.Now()-began, status)
+	}
+}
+
+func (u *Users) trySubmit(w http.ResponseWriter, r *http.Request) int {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, 0, "body too large or cut short")
+		return http.StatusBadRequest
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	spec, malformed := wire.DecodeSpec(body)
+	uid := spec.UID
+	if malformed != nil {
+		uid = wire.UIDOf(body)
+	}
+	verdict, why := http.StatusCreated, ""
+	if malformed != nil {
+		verdict, why = http.StatusBadRequest, malformed.Error()
+	} else {
+		verdict, why = u.judge(ctx, &spec)
+	}
+	if verdict == http.StatusCreated {
+		rec := store.JobRecord{Spec: spec, AtUS: int64(u.Clock.Wall()), Node: u.Node}
+		_, err := u.Store.Commit(ctx, store.Urgent, wire.Txn{
+			When:  []wire.When{{Path: store.JobKey(uid)}, {Path: store.OverKey(uid)}},
+			Apply: []wire.Apply{{Set: store.JobKey(uid), Value: rec}},
+		})
+		if err == nil {
+			agent.Write(w, http.StatusCreated, wire.View{UID: uid, Status: wire.JobQueued})
+			return http.StatusCreated
+		}
+		var conflict *store.Conflict
+		if !errors.As(err, &conflict) {
+			u.unavailable(w, err)
+			return http.StatusServiceUnavailable
+		}
+	}
+	// Known already, or not to be taken: an accepted job gets its state whatever
+	// a repeat's body holds, so the look-up comes before the refusal.
+	if uid != "" {
+		v, err := u.view(ctx, uid)
+		if err == nil {
+			agent.Write(w, http.StatusOK, v)
+			return http.StatusOK
+		}
+		if !errors.Is(err, errUnknownJob) || verdict == http.StatusCreated {
+			u.unavailable(w, err)
+			return http.StatusServiceUnavailable
+		}
+	}
+	if verdict == http.StatusServiceUnavailable {
+		u.unavailable(w, errors.New(why))
+		return verdict
+	}
+	refuse(w, verdict, 0, why)
+	return verdict
+}
+
+// judge tells whether a well-formed job can ever run.
+func (u *Users) judge(ctx context.Context, s *wire.Spec) (status int, why string) {
+	var team *config.Team
+	for i := range u.Teams {
+		if u.Teams[i].Name == s.Owner {
+			team = &u.Teams[i]
+		}
+	}
+	if team == nil {
+		return http.StatusUnprocessableEntity, "unknown team"
+	}
+	n := 1.0
+	if s.Shape == wire.ShapeStanding {
+		n = float64(s.Pieces)
+	}
+	if team.CPUsMax > 0 && n*s.Cores > team.CPUsMax+1e-9 || team.AccelMax > 0 && n*s.Accel > team.AccelMax+1e-9 {
+		return http.StatusUnprocessableEntity, "more than the team's limit"
+	}
+	cat, ok := u.Catalog(ctx)
+	if !ok {
+		return http.StatusServiceUnavailable, "machine types unknown"
+	}
+	for _, b := range cat.Builds {
+		if Fits(s, b) {
+			return http.StatusCreated, ""
+		}
+	}
+	return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+}
+
+// Fits tells whether a task of the job fits an empty machine of a type that the job allows.
+func Fits(s *wire.Spec, b wire.Build) bool {
+	if s.Builds != nil {
+		found := false
+		for _, sku := range s.Builds {
+			found = found || sku == b.SKU
+		}
+		if !found {
+			return false
+		}
+	}
+	if s.Yard != "" {
+		found := false
+		for _, y := range b.Yards {
+			found = found || y == s.Yard
+		}
+		if !found {
+			return false
+		}
+	}
+	const slop = 1e-9
+	return s.Cores <= b.Cores+slop && s.Accel <= b.Accel+slop && s.RAM <= b.RAM+slop
+}
+
+func (u *Users) query(w http.ResponseWriter, r *http.Request) {
+	uid := chi.URLParam(r, "uid")
+	if !wire.ValidUID(uid) {
+		refuse(w, http.StatusNotFound, 0, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
+	defer cancel()
+	v, err := u.view(ctx, uid)
+	switch {
+	case err == nil:
+		agent.Write(w, http.StatusOK, v)
+	case errors.Is(err, errUnknownJob):
+		refuse(w, http.StatusNotFound, 0, "no such job")
+	default:
+		u.unavailable(w, err)
+	}
+}
+
+func (u *Users) abort(w http.ResponseWriter, r *http.Request) {
+	uid := chi.URLParam(r, "uid")
+	if !wire.ValidUID(uid) {
+		refuse(w, http.StatusNotFound, 0, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	for range 4 {
+		row, over, err := u.lookup(ctx, uid)
+		if errors.Is(err, errUnknownJob) {
+			refuse(w, http.StatusNotFound, 0, "no such job")
+			return
+		}
+		if err != nil {
+			u.unavailable(w, err)
+			return
+		}
+		if over != nil {
+			agent.Write(w, http.StatusOK, wire.View{UID: uid, Status: over.Status})
+			return
+		}
+		rec := store.OverRecord{Status: wire.JobCancelled, Nonce: u.Node}
+		_, err = u.Store.Commit(ctx, store.Urgent, wire.Txn{
+			When:  []wire.When{{Path: store.JobKey(uid), Stamp: row.Stamp}},
+			Apply: []wire.Apply{{Delete: store.JobKey(uid)}, {Set: store.OverKey(uid), Value: rec}},
+		})
+		var conflict *store.Conflict
+		switch {
+		case err == nil:
+			u.remember(uid, rec)
+			agent.Write(w, http.StatusOK, wire.View{UID: uid, Status: wire.JobCancelled})
+			return
+		case !errors.As(err, &conflict):
+			u.unavailable(w, err)
+			return
+		}
+		// Done, cancelled or taken up in between: look again.
+	}
+	u.unavailable(w, errors.New("the job keeps changing"))
+}
--- /dev/null
+++ b/cloud/size.go
@@ -0,0 +1,238 @@
+package cloud
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"cedardoor/clock"
+	"cedardoor/wire"
+)
+
+// Held is a machine that is paid for, up or on its way.
+type Held struct {
+	Name      string
+	Build     string
+	Yard      string
+	Loaned    bool
+	Up        bool // takes tasks
+	Lost      bool // silent, sick or about to be taken: counts for nothing
+	Cordoned  bool
+	Live      int // tasks that may be on it
+	Standing  int // of those, replicas
+	UsedCores float64
+	UsedRAM   float64
+	Idle      clock.Micros // for how long nothing has been on it
+	Age       clock.Micros
+}
+
+// Load is an amount of work to hold at once.
+type Load struct{ Cores, RAM, Accel float64 }
+
+// Need is what the fleet has to hold.
+type Need struct {
+	Ordinary Load // only ordinary machines will do
+	Loaned   Load // spot machines will do
+	Reserve  float64
+	Apart    bool // there are replicas to keep in more than one zone
+	MaxCores float64
+	MaxRAM   float64
+	Idle     clock.Micros
+	Machines int
+}
+
+// Wish is a rental to ask for.
+type Wish struct {
+	Build, Yard string
+	Loaned      bool
+	Count       int
+}
+
+// Verdict is what sizing decided.
+type Verdict struct {
+	Rent     []Wish
+	Cordon   []string // no new tasks: they are to be returned when empty
+	Uncordon []string
+	Return   []string // empty: can go now
+}
+
+// Refused tells whether a type, zone and kind was refused not long ago.
+type Refused func(build, yard string, loaned bool) bool
+
+// worth is how many cores' worth of a load a machine type holds.
+func worth(b wire.Build, l Load, maxCores float64) float64 {
+	c := b.Cores
+	if l.Cores > 0 && l.RAM > 0 {
+		c = min(c, b.RAM/(l.RAM/l.Cores))
+	}
+	if l.Accel > 0 && b.Accel == 0 {
+		return 0
+	}
+	if maxCores > b.Cores {
+		return 0
+	}
+	return c
+}
+
+// Size compares what is held with what is needed. It is pure.
+func Size(builds []wire.Build, held []Held, need Need, refused Refused) Verdict {
+	var v Verdict
+	byName := map[string]wire.Build{}
+	for _, b := range builds {
+		byName[b.SKU] = b
+	}
+	ordWant := need.Ordinary.Cores * (1 + need.Reserve)
+	var ordHave, spotHave float64
+	zoneHave := map[string]float64{}
+	for _, h := range held {
+		b, ok := byName[h.Build]
+		if !ok || h.Lost || h.Cordoned {
+			continue
+		}
+		if h.Loaned {
+			spotHave += worth(b, need.Loaned, 0)
+		} else {
+			w := worth(b, need.Ordinary, 0)
+			ordHave += w
+			zoneHave[h.Yard] += w
+		}
+	}
+	total := len(held)
+	// Ordinary machines first, then spot; a shortage takes cordoned machines back before renting.
+	uncordon := func(loaned bool, missing float64, load Load) float64 {
+		for _, h := range held {
+			if missing <= 0 {
+				break
+			}
+			if h.Cordoned && !h.Lost && h.Up && h.Loaned == loaned {
+				v.Uncordon = append(v.Uncordon, h.Name)
+				missing -= worth(byName[h.Build], load, 0)
+			}
+		}
+		return missing
+	}
+	missing := uncordon(false, ordWant-ordHave, need.Ordinary)
+	if missing > 0 {
+		total += rent(&v, builds, need.Ordinary, missing, false, zoneHave, need.Apart, refused, need.Machines-total)
+	}
+	spare := max(0, ordHave-ordWant)
+	missing = uncordon(true, need.Loaned.Cores-spotHave-spare, need.Loaned)
+	if missing > 0 {
+		rent(&v, builds, need.Loaned, missing, true, map[string]float64{}, false, refused, need.Machines-total)
+	}
+	// What is too much goes: dearest per core first, emptiest first among equals.
+	surplus := func(loaned bool, over float64, load Load) {
+		var list []Held
+		for _, h := range held {
+			if h.Loaned == loaned && !h.Lost && !h.Cordoned && h.Up && !slices.Contains(v.Uncordon, h.Name) {
+				list = append(list, h)
+			}
+		}
+		price := func(h Held) float64 {
+			b := byName[h.Build]
+			p := b.Hourly
+			if loaned {
+				p = b.Spot
+			}
+			return p / max(0.01, worth(b, load, 0))
+		}
+		sort.SliceStable(list, func(i, j int) bool {
+			a, b := list[i], list[j]
+			if x, y := a.Live == 0, b.Live == 0; x != y {
+				return x
+			}
+			if a.Standing != b.Standing {
+				return a.Standing < b.Standing
+			}
+			if x, y := price(a), price(b); math.Abs(x-y) > 0.002 {
+				return x > y
+			}
+			return a.UsedCores < b.UsedCores
+		})
+		for _, h := range list {
+			w := worth(byName[h.Build], load, 0)
+			if w > over || h.Standing > 0 {
+				continue
+			}
+			if h.Live == 0 && h.Idle < need.Idle {
+				continue
+			}
+			if need.Apart && !loaned && zoneHave[h.Yard]-w < ordWant/4 {
+				continue
+			}
+			v.Cordon = append(v.Cordon, h.Name)
+			over -= w
+			zoneHave[h.Yard] -= w
+		}
+	}
+	if len(v.Rent) == 0 {
+		surplus(true, spotHave+spare-need.Loaned.Cores, need.Loaned)
+		surplus(false, ordHave-ordWant-max(0, need.Loaned.Cores-spotHave), need.Ordinary)
+	}
+	for _, h := range held {
+		if h.Cordoned && h.Up && h.Live == 0 && !slices.Contains(v.Uncordon, h.Name) {
+			v.Return = append(v.Return, h.Name)
+		}
+	}
+	return v
+}
+
+// rent fills a shortage with the machines that cost least per core of the
+// load, and gives how many it asked for. A load that spot machines may hold
+// falls back on ordinary ones where spot is refused.
+func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
+	type offer struct {
+		b      wire.Build
+		yard   string
+		loaned bool
+		price  float64
+		worth  float64
+	}
+	var offers []offer
+	for _, b := range builds {
+		w := worth(b, load, 0)
+		if w <= 0 {
+			continue
+		}
+		for _, y := range b.Yards {
+			if !refused(b.SKU, y, false) {
+				offers = append(offers, offer{b, y, false, b.Hourly / w, w})
+			}
+			if loaned && b.Spot > 0 && !refused(b.SKU, y, true) {
+				offers = append(offers, offer{b, y, true, b.Spot / w, w})
+			}
+		}
+	}
+	asked := 0
+	for missing > 0.5 && asked < most && len(offers) > 0 {
+		sort.SliceStable(offers, func(i, j int) bool {
+			a, b := offers[i], offers[j]
+			if apart && zoneHave[a.yard] != zoneHave[b.yard] {
+				return zoneHave[a.yard] < zoneHave[b.yard]
+			}
+			if math.Abs(a.price-b.price) > 1e-9 {
+				return a.price < b.price
+			}
+			// The last machine should not be larger than what is missing.
+			if x, y := a.worth > missing, b.worth > missing; x != y {
+				return y
+			}
+			return zoneHave[a.yard] < zoneHave[b.yard]
+		})
+		o := offers[0]
+		found := false
+		for i := range v.Rent {
+			if w := &v.Rent[i]; w.Build == o.b.SKU && w.Yard == o.yard && w.Loaned == o.loaned {
+				w.Count++
+				found = true
+			}
+		}
+		if !found {
+			v.Rent = append(v.Rent, Wish{Build: o.b.SKU, Yard: o.yard, Loaned: o.loaned, Count: 1})
+		}
+		zoneHave[o.yard] += o.worth
+		missing -= o.worth
+		asked++
+	}
+	return asked
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,253 @@
+// Package config reads the two settings files: the platform's, handed to
+// every daemon, and the operators' own, which a schema guards.
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"cedardoor/clock"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Node is another controller.
+type Node struct {
+	Node string `json:"node"`
+	Area string `json:"area"`
+	Addr string `json:"addr"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name     string  `json:"name"`
+	CPUs     float64 `json:"cpus"`
+	CPUsMax  float64 `json:"cpus_max"`
+	Accel    float64 `json:"gpus"`
+	AccelMax float64 `json:"gpus_max"`
+}
+
+// Objective is one of the aims that the platform repeats.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+}
+
+// Workers holds the workers' timing.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// Limits is what this process may use.
+type Limits struct {
+	CoreShare float64 `json:"core_share"`
+	MemMB     float64 `json:"mem_mb"`
+	FDLimit   int     `json:"fd_limit"`
+}
+
+// Facts are the deployment's parameters.
+type Facts struct {
+	InitialSize int         `json:"initial_size"`
+	Zones       []string    `json:"zones"`
+	Teams       []Team      `json:"teams"`
+	Objectives  []Objective `json:"objectives"`
+	Workers     Workers     `json:"workers"`
+	State       State       `json:"state"`
+	Cloud       Cloud       `json:"cloud"`
+	Limits      Limits      `json:"machine_limits"`
+	SkewMS      float64     `json:"skew_ms"`
+}
+
+// Platform is the file that the platform hands over.
+type Platform struct {
+	Node         string `json:"node"`
+	Area         string `json:"area"`
+	ClientListen string `json:"client_listen"`
+	Back         string `json:"back"`
+	Others       []Node `json:"others"`
+	Outside      struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"outside"`
+	Facts Facts `json:"facts"`
+}
+
+// LoadPlatform reads and checks the platform's file; unknown fields are ignored.
+func LoadPlatform(path string) (*Platform, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var p Platform
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if err := p.check(); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return &p, nil
+}
+
+func (p *Platform) check() error {
+	addrs := []struct{ field, value string }{
+		{"client_listen", p.ClientListen}, {"back", p.Back},
+		{"outside.cloud", p.Outside.Cloud}, {"outside.state", p.Outside.State},
+	}
+	names := map[string]bool{p.Node: true}
+	for i, o := range p.Others {
+		if o.Node == "" || names[o.Node] {
+			return fmt.Errorf("others[%d].node: empty or named twice", i)
+		}
+		names[o.Node] = true
+		addrs = append(addrs, struct{ field, value string }{fmt.Sprintf("others[%d].addr", i), o.Addr})
+	}
+	if p.Node == "" {
+		return fmt.Errorf("node: missing")
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", a.field, a.value)
+		}
+	}
+	f := &p.Facts
+	positive := []struct {
+		field string
+		value float64
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.cancel_s", f.Workers.CancelS}, {"facts.state.rps", f.State.RPS},
+		{"facts.state.write_rps", f.State.WriteRPS}, {"facts.state.value_kb", f.State.ValueKB},
+		{"facts.state.txn_ops", float64(f.State.TxnOps)}, {"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.machine_limits.core_share", f.Limits.CoreShare}, {"facts.machine_limits.mem_mb", f.Limits.MemMB},
+		{"facts.machine_limits.fd_limit", float64(f.Limits.FDLimit)},
+	}
+	for _, v := range positive {
+		if !(v.value > 0) {
+			return fmt.Errorf("%s: missing or not positive", v.field)
+		}
+	}
+	for i, t := range f.Teams {
+		if t.Name == "" || t.CPUs < 0 || t.CPUsMax < 0 || t.Accel < 0 || t.AccelMax < 0 {
+			return fmt.Errorf("facts.teams[%d]: no name, or a negative amount", i)
+		}
+	}
+	if len(f.Teams) == 0 {
+		return fmt.Errorf("facts.teams: missing")
+	}
+	if f.SkewMS < 0 || f.Cloud.ListLagS < 0 {
+		return fmt.Errorf("facts.skew_ms or facts.cloud.list_lag_s: negative")
+	}
+	return nil
+}
+
+//go:embed schema.json
+var schemaText []byte
+
+//go:embed defaults.json
+var defaultsText []byte
+
+// Operator is what operators may tune; docs/operations.md lists every field.
+type Operator struct {
+	Repair struct {
+		PeriodS  float64 `json:"period_s"`
+		Restarts int     `json:"restarts"`
+	} `json:"repair"`
+	Lead struct {
+		TTLs   float64 `json:"ttl_s"`
+		RenewS float64 `json:"renew_s"`
+	} `json:"lead"`
+	Fleet struct {
+		Enabled     bool    `json:"enabled"`
+		PeriodS     float64 `json:"period_s"`
+		IdleS       float64 `json:"idle_s"`
+		WindowS     float64 `json:"window_s"`
+		Headroom    float64 `json:"headroom"`
+		ReserveOD   float64 `json:"reserve_ordinary"`
+		QueueS      float64 `json:"queue_s"`
+		SilentS     float64 `json:"silent_s"`
+		BootFactor  float64 `json:"boot_factor"`
+		MaxMachines int     `json:"max_machines"`
+	} `json:"fleet"`
+	Plan struct {
+		Sample int `json:"sample"`
+	} `json:"plan"`
+	Metrics struct {
+		Listen string `json:"listen"`
+	} `json:"metrics"`
+}
+
+// Period is the time between repair rounds.
+func (o *Operator) Period() clock.Micros { return clock.FromSeconds(o.Repair.PeriodS) }
+
+// LoadOperator reads the operators' file over the embedded defaults; an empty
+// path gives the defaults. An unknown or invalid key is refused with its path.
+func LoadOperator(path string) (*Operator, error) {
+	var o Operator
+	if err := json.Unmarshal(defaultsText, &o); err != nil {
+		return nil, fmt.Errorf("embedded defaults: %w", err)
+	}
+	if path == "" {
+		return &o, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	if err := validate(raw); err != nil {
+		return nil, fmt.Errorf("operator settings %s: %w", path, err)
+	}
+	if err := json.Unmarshal(raw, &o); err != nil {
+		return nil, fmt.Errorf("operator settings %s: %w", path, err)
+	}
+	if o.Lead.RenewS*2 > o.Lead.TTLs {
+		return nil, fmt.Errorf("operator settings %s: /lead/renew_s: more than half of /lead/ttl_s", path)
+	}
+	return &o, nil
+}
+
+func validate(raw []byte) error {
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return fmt.Errorf("embedded schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("schema.json", schema); err != nil {
+		return fmt.Errorf("embedded schema: %w", err)
+	}
+	compiled, err := c.Compile("schema.json")
+	if err != nil {
+		return fmt.Errorf("embedded schema: %w", err)
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	if err := compiled.Validate(doc); err != nil {
+		lines := strings.Split(err.Error(), "\n")
+		return fmt.Errorf("%s", strings.TrimSpace(strings.Join(lines[min(1, len(lines)-1):], "; ")))
+	}
+	return nil
+}
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,577 @@
+package cedardoor
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sort"
+	"sync"
+
+	"cedardoor/agent"
+	"cedardoor/clock"
+	"cedardoor/cloud"
+	"cedardoor/config"
+	"cedardoor/fleet"
+	"cedardoor/lead"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+type pieceState uint8
+
+const (
+	pieceWaiting pieceState = iota
+	piecePlaced
+	pieceDone
+)
+
+// piece is one task as the leader sees it.
+type piece struct {
+	state     pieceState
+	try       uint64
+	booking   *fleet.Booking // where it is, when placed
+	target    *fleet.Booking // where it goes once it has left, when it moves
+	notBefore clock.Micros   // backing off until
+	fails     int
+	ran       bool
+}
+
+// chunk is the durable record of some of a job's tasks.
+type chunk struct {
+	stamp  uint64
+	seq    uint64 // raised by every change
+	saved  uint64 // seq of what is durable
+	ending []*fleet.Booking
+}
+
+// job is an unfinished job, or one whose tasks are still being stopped.
+type job struct {
+	uid       string
+	spec      wire.Spec
+	rank      wire.Rank
+	stamp     uint64
+	at        int64 // wall clock of its acceptance, in microseconds
+	seen      clock.Micros
+	order     int64
+	cancelled bool
+	pieces    []piece
+	waiting   []int
+	done      int
+	chunks    []chunk
+	started   bool
+	failedOn  map[string]bool // machines on which tasks of it failed
+	zones     map[string]int  // tasks that may exist
+	machines  map[string]int
+	ran       runStat
+}
+
+// runStat is what is known of how long a job's tasks run.
+type runStat struct {
+	n   int
+	sum clock.Micros
+}
+
+func (r runStat) mean() clock.Micros {
+	if r.n == 0 {
+		return 0
+	}
+	return r.sum / clock.Micros(r.n)
+}
+
+func (j *job) standing() bool { return j.spec.Shape == wire.ShapeStanding }
+
+func (j *job) touch(index int) *chunk {
+	c := &j.chunks[index/store.ChunkPieces]
+	c.seq++
+	return c
+}
+
+// reign is everything that a leader knows, from its election to its end.
+// Nothing of it outlives the reign: a new leader builds its own from the
+// records and the workers' reports.
+type reign struct {
+	cfg     *config.Platform
+	op      *config.Operator
+	ck      *clock.Clock
+	st      *store.Client
+	el      *lead.Elector
+	workers *agent.Client
+	cl      *cloud.Client
+	log     *slog.Logger
+	met     *Metrics
+	r       lead.Reign
+
+	kick chan struct{}
+
+	mu       sync.Mutex // guards everything below
+	loaded   bool
+	fl       *fleet.Fleet
+	jobs     map[string]*job
+	dirty    map[string]bool // jobs with something to record
+	catalog  wire.Catalog
+	catStamp uint64
+	busy     map[string]bool // machines with a /do in flight
+	orders   int64
+	seq      uint64
+	teams    map[string]config.Team
+	repairAt clock.Micros
+	raisedAt clock.Micros
+	usage    []sample
+	pending  map[string]*hire
+	hireSeq  int
+	refused  map[string]clock.Micros
+	moving   int
+	blocked  clock.Micros // when a lack of room was last logged
+}
+
+func newReign(s *Service, r lead.Reign) *reign {
+	w := s.cfg.Facts.Workers
+	g := &reign{
+		cfg: s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r,
+		kick: make(chan struct{}, 1),
+		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Warrant),
+		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
+		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
+	}
+	for _, t := range s.cfg.Facts.Teams {
+		g.teams[t.Name] = t
+	}
+	return g
+}
+
+// wake asks the loop for a pass soon.
+func (g *reign) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run leads until ctx ends.
+func (g *reign) run(ctx context.Context) error {
+	epoch, err := g.load(ctx)
+	if err != nil {
+		return fmt.Errorf("load records: %w", err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { g.watchJobs(ctx, epoch) })
+	wg.Go(func() { g.sizeLoop(ctx) })
+	g.loop(ctx)
+	wg.Wait()
+	return nil
+}
+
+// load reads every unfinished job and every recorded attempt. The machines of
+// those may go on under the predecessor's last answers, so each keeps its
+// bookings until it reports or its lease must have run out.
+func (g *reign) load(ctx context.Context) (epoch uint64, err error) {
+	jobs, epoch, err := g.st.List(ctx, store.Urgent, store.PrefixJob)
+	if err != nil {
+		return 0, err
+	}
+	chunks, _, err := g.st.List(ctx, store.Urgent, store.PrefixRuns)
+	if err != nil {
+		return 0, err
+	}
+	catRow, catFound, err := g.st.Get(ctx, store.Urgent, store.KeyCatalog)
+	if err != nil {
+		return 0, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if catFound {
+		if err := wire.Unmarshal(catRow.Value, &g.catalog); err != nil {
+			return 0, fmt.Errorf("catalogue record: %w", err)
+		}
+		g.catStamp = catRow.Stamp
+		g.fl.SetCatalog(g.catalog)
+	}
+	now := g.ck.Now()
+	for _, row := range jobs {
+		if err := g.addJob(row.Path, row.Value, row.Stamp, now); err != nil {
+			return 0, err
+		}
+	}
+	lease := clock.FromSeconds(g.cfg.Facts.Workers.LeaseS)
+	for _, row := range chunks {
+		uid, n, ok := store.ParseChunkKey(row.Path)
+		if !ok {
+			g.log.Error("record with a strange name", "key", row.Path)
+			continue
+		}
+		var rec store.ChunkRecord
+		if err := wire.Unmarshal(row.Value, &rec); err != nil {
+			return 0, fmt.Errorf("record %s: %w", row.Path, err)
+		}
+		j := g.jobs[uid]
+		if j == nil {
+			// Over, but its tasks were not all known to be gone.
+			j = &job{uid: uid, cancelled: true, failedOn: map[string]bool{}}
+			g.jobs[uid] = j
+		}
+		for len(j.chunks) <= n {
+			j.chunks = append(j.chunks, chunk{})
+		}
+		j.chunks[n].stamp = row.Stamp
+		if j.cancelled {
+			for len(j.pieces) < (n+1)*store.ChunkPieces {
+				j.pieces = append(j.pieces, piece{})
+			}
+			g.dirty[uid] = true
+		}
+		base := n * store.ChunkPieces
+		done, runs, err := rec.Unpack(min(store.ChunkPieces, len(j.pieces)-base))
+		if err != nil {
+			return 0, fmt.Errorf("record %s: %w", row.Path, err)
+		}
+		for i, d := range done {
+			if d {
+				j.pieces[base+i].state = pieceDone
+				j.done++
+			}
+		}
+		for _, p := range runs {
+			pc := &j.pieces[base+p.Index]
+			pc.try, pc.ran = p.Try, true
+			j.started = true
+			if p.Host == "" {
+				continue
+			}
+			m := g.fl.Ensure(p.Host, now)
+			m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(fleet.Drift)+clock.Second)
+			b := g.booking(j, base+p.Index, p.Try)
+			b.Tenure = p.Tenure
+			g.fl.Adopt(m, b, now)
+			if j.cancelled {
+				b.Halt, b.HaltAt = true, now
+			}
+			pc.state, pc.booking = piecePlaced, b
+		}
+	}
+	for _, j := range g.jobs {
+		if j.cancelled {
+			continue
+		}
+		j.waiting = j.waiting[:0]
+		for i := range j.pieces {
+			if j.pieces[i].state == pieceWaiting {
+				j.waiting = append(j.waiting, i)
+			}
+		}
+		if j.done == len(j.pieces) {
+			g.dirty[j.uid] = true
+		}
+	}
+	g.loaded = true
+	g.log.Info("records loaded", "jobs", len(jobs), "chunks", len(chunks), "epoch", epoch)
+	return epoch, nil
+}
+
+func (g *reign) booking(j *job, index int, try uint64) *fleet.Booking {
+	s := &j.spec
+	return &fleet.Booking{Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
+		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0}
+}
+
+// addJob takes an accepted job in. The caller holds mu.
+func (g *reign) addJob(key string, value []byte, stamp uint64, now clock.Micros) error {
+	var rec store.JobRecord
+	if err := wire.Unmarshal(value, &rec); err != nil {
+		return fmt.Errorf("record %s: %w", key, err)
+	}
+	s := rec.Spec
+	if store.JobKey(s.UID) != key || s.Pieces < 1 || s.Pieces > wire.MaxPieces {
+		return fmt.Errorf("record %s: not this job's", key)
+	}
+	if j := g.jobs[s.UID]; j != nil {
+		j.stamp = stamp
+		return nil
+	}
+	rank, _ := wire.RankOf(s.Rank)
+	g.orders++
+	j := &job{uid: s.UID, spec: s, rank: rank, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
+		pieces: make([]piece, s.Pieces), waiting: make([]int, s.Pieces),
+		chunks:   make([]chunk, (s.Pieces+store.ChunkPieces-1)/store.ChunkPieces),
+		failedOn: map[string]bool{}}
+	for i := range j.waiting {
+		j.waiting[i] = i
+	}
+	g.jobs[s.UID] = j
+	return nil
+}
+
+// watchJobs follows the job records: other nodes accept and cancel jobs there.
+func (g *reign) watchJobs(ctx context.Context, since uint64) {
+	for ctx.Err() == nil {
+		ch, err := g.st.Changes(ctx, store.PrefixJob, since, 10*clock.Second)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			g.log.Debug("watch jobs", "error", err)
+			if err := g.resync(ctx, &since); err != nil && ctx.Err() == nil {
+				g.log.Debug("read jobs again", "error", err)
+				g.sleep(ctx, 500*clock.Millisecond)
+			}
+			continue
+		}
+		since = max(since, ch.Epoch)
+		if len(ch.Events) == 0 {
+			continue
+		}
+		now := g.ck.Now()
+		g.mu.Lock()
+		for _, ev := range ch.Events {
+			if ev.Set != "" {
+				if err := g.addJob(ev.Set, ev.Value, ev.Stamp, now); err != nil {
+					g.log.Error("job record ignored", "error", err)
+				}
+			} else if j := g.jobs[ev.Delete[min(len(store.PrefixJob), len(ev.Delete)):]]; j != nil {
+				// Only this leader calls a job done, and it drops the job itself when
+				// it does; so this is a cancel accepted somewhere.
+				g.cancel(j, now)
+			}
+		}
+		g.mu.Unlock()
+		g.wake()
+	}
+}
+
+// resync reads all job records again, after a watch that broke or was too old.
+func (g *reign) resync(ctx context.Context, since *uint64) error {
+	rows, epoch, err := g.st.List(ctx, store.Urgent, store.PrefixJob)
+	if err != nil {
+		return err
+	}
+	now := g.ck.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	there := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		there[row.Path] = true
+		if err := g.addJob(row.Path, row.Value, row.Stamp, now); err != nil {
+			g.log.Error("job record ignored", "error", err)
+		}
+	}
+	for uid, j := range g.jobs {
+		if !there[store.JobKey(uid)] && j.stamp <= epoch {
+			g.cancel(j, now)
+		}
+	}
+	*since = epoch
+	g.wake()
+	return nil
+}
+
+func (g *reign) sleep(ctx context.Context, d clock.Micros) {
+	select {
+	case <-ctx.Done():
+	case <-g.ck.After(d.Duration()):
+	}
+}
+
+// cancel stops all tasks of a job. The caller holds mu.
+func (g *reign) cancel(j *job, now clock.Micros) {
+	if j.cancelled {
+		return
+	}
+	j.cancelled = true
+	j.waiting = nil
+	for i := range j.pieces {
+		pc := &j.pieces[i]
+		if pc.target != nil {
+			g.fl.Remove(pc.target, now)
+			pc.target = nil
+		}
+		if pc.booking != nil && g.fl.Stop(pc.booking, 0, now) {
+			unplace(pc)
+		}
+	}
+	g.dirty[j.uid] = true
+	g.log.Debug("job cancelled", "job", j.uid)
+}
+
+// unplace notes that a task's attempt is over. The caller holds mu.
+func unplace(pc *piece) {
+	pc.booking = nil
+	pc.state = pieceWaiting
+}
+
+// news takes in what the fleet has learned. The caller holds mu.
+func (g *reign) news(list []fleet.News, now clock.Micros) {
+	for _, n := range list {
+		b := n.Booking
+		j := g.jobs[b.Piece.Job]
+		if j == nil || b.Piece.Index >= len(j.pieces) {
+			b.Settled = true
+			continue
+		}
+		pc := &j.pieces[b.Piece.Index]
+		if pc.target == b {
+			pc.target = nil
+			b.Settled = true
+			continue
+		}
+		if pc.booking != b {
+			b.Settled = true
+			continue
+		}
+		if n.Started {
+			pc.ran = true
+			j.started = true
+			g.met.Start(now - j.seen)
+			continue
+		}
+		g.ended(j, pc, b, n.Gone, now)
+	}
+}
+
+// ended takes in the end of a task's attempt. The caller holds mu.
+func (g *reign) ended(j *job, pc *piece, b *fleet.Booking, gone bool, now clock.Micros) {
+	unplace(pc)
+	c := j.touch(b.Piece.Index)
+	g.dirty[j.uid] = true
+	if j.cancelled {
+		b.Settled = true
+		return
+	}
+	c.ending = append(c.ending, b)
+	m := b.Machine
+	cause := b.Cause
+	if gone {
+		cause = "gone"
+	}
+	if cause == wire.CauseDone && !j.standing() {
+		if pc.target != nil {
+			g.fl.Remove(pc.target, now)
+			pc.target = nil
+		}
+		pc.state = pieceDone
+		j.done++
+		m.Strikes = 0
+		if b.Running > 0 && b.Since > 0 {
+			g.observe(j, m, now-b.Running)
+		}
+		return
+	}
+	g.log.Debug("task ended", "piece", b.Piece.String(), "try", b.Try, "cause", cause, "host", m.Name, "halt", b.Halt)
+	switch cause {
+	case wire.CauseError:
+		g.failed(j, pc, m, now)
+	case wire.CauseFull, wire.CauseInUse:
+		pc.notBefore = now + clock.Second
+	case wire.CauseNoSuch:
+		pc.fails++
+		pc.notBefore = now + backoff(pc.fails)
+	}
+	if t := pc.target; t != nil {
+		// The source's stop is confirmed: the room booked at the target is taken up.
+		pc.target = nil
+		if !t.Ended && t.Tenure == t.Machine.Tenure && t.Machine.Banned == "" {
+			pc.state, pc.booking, pc.try = piecePlaced, t, t.Try
+			return
+		}
+		g.fl.Remove(t, now)
+	}
+	j.waiting = append(j.waiting, b.Piece.Index)
+}
+
+// backoff is how long to wait after the n-th failure in a row.
+func backoff(n int) clock.Micros {
+	return min(60*clock.Second, clock.Second<<min(n, 6))
+}
+
+// failed tells a bad job from a bad machine: a job that fails on machines that
+// other jobs succeed on is bad and is retried ever more slowly; a machine on
+// which several tasks fail in a row is sick and is emptied.
+func (g *reign) failed(j *job, pc *piece, m *fleet.Machine, now clock.Micros) {
+	pc.fails++
+	elsewhere := len(j.failedOn) > 1 || len(j.failedOn) == 1 && !j.failedOn[m.Name]
+	j.failedOn[m.Name] = true
+	if elsewhere && j.done == 0 && j.ran.n == 0 {
+		pc.notBefore = now + backoff(len(j.failedOn)+pc.fails)
+		return
+	}
+	m.Strikes++
+	if m.Strikes >= 2 && m.Banned == "" {
+		m.Banned = "sick"
+		g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", m.Strikes)
+	}
+	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(pc.fails)
+}
+
+// observe compares a task's run time with its job's others, to find slow machines.
+func (g *reign) observe(j *job, m *fleet.Machine, took clock.Micros) {
+	if j.ran.n >= 3 && j.ran.mean() > 0 {
+		ratio := float64(took) / float64(j.ran.mean())
+		m.Slow += (ratio - m.Slow) / float64(min(m.SlowN+2, 6))
+		m.SlowN++
+	}
+	j.ran.n++
+	j.ran.sum += took
+}
+
+// Beat takes in a worker's report and says what to answer.
+func (g *reign) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) {
+	now := g.ck.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	warrant, may := g.el.MayAnswer()
+	if !may || !g.loaded {
+		return wire.BeatAnswer{}, false
+	}
+	_, order := g.el.MayOrder()
+	news, fresh := g.fl.Report(now, rep, true)
+	m := g.fl.Machine(rep.Host)
+	if !fresh && rep.Tenure < m.Tenure {
+		// Of a session that is over: the worker drops the answer anyway.
+		return wire.BeatAnswer{Warrant: warrant, Orders: []wire.Order{}}, true
+	}
+	g.news(news, now)
+	g.fl.Answered(m, now)
+	if len(news) > 0 {
+		g.wake()
+	}
+	ans := wire.BeatAnswer{Warrant: warrant, Orders: []wire.Order{}}
+	if order {
+		ans.Orders = g.fl.Orders(m, now, true, !g.busy[m.Name])
+	}
+	return ans, true
+}
+
+// counts tells how many tasks of a job are done and running.
+func (g *reign) counts(uid string) (done, running int, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	j := g.jobs[uid]
+	if j == nil || !g.loaded {
+		return 0, 0, false
+	}
+	for i := range j.pieces {
+		if b := j.pieces[i].booking; b != nil && b.Status == wire.PieceRunning {
+			running++
+		}
+	}
+	return j.done, running, true
+}
+
+// sortedJobs lists the jobs in a fixed order. The caller holds mu.
+func (g *reign) sortedJobs() []*job {
+	out := make([]*job, 0, len(g.jobs))
+	for _, j := range g.jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].order != out[k].order {
+			return out[i].order < out[k].order
+		}
+		return out[i].uid < out[k].uid
+	})
+	return out
+}
+
+// prune drops waiting entries that no longer wait.
+func (j *job) prune() {
+	j.waiting = slices.DeleteFunc(j.waiting, func(i int) bool { return j.pieces[i].state != pieceWaiting })
+}
--- /dev/null
+++ b/lead/lead.go
@@ -0,0 +1,293 @@
+// Package lead decides which controller acts for the service, and hands out
+// the warrants under which it does.
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+// AttestSpan is how long after asking them the others' word that the state
+// service refuses everyone lets a leader go on answering beats.
+const AttestSpan = 1500 * clock.Millisecond
+
+// holdMargin is taken off a hold's own time, for clocks that drift and answers that take time.
+const holdMargin = 250 * clock.Millisecond
+
+// Reign is one time of leadership.
+type Reign struct {
+	Warrant uint64 // the first warrant; Raise goes above it
+	Stamp   uint64 // of the lead key; every write of the leader is conditional on it
+	Since   clock.Micros
+}
+
+// Attester asks all other controllers whether the state service refuses them too.
+type Attester func(ctx context.Context) bool
+
+// Elector competes for leadership and keeps it.
+type Elector struct {
+	node   string
+	st     *store.Client
+	ck     *clock.Clock
+	ttl    clock.Micros
+	renew  clock.Micros
+	attest Attester
+	log    *slog.Logger
+
+	mu       sync.Mutex // guards the fields below
+	leading  bool
+	reign    Reign
+	warrant  uint64
+	hold     uint64
+	until    clock.Micros // the hold cannot have lapsed before this
+	attested clock.Micros // the others' word is good until this
+	leader   string       // who leads, as last seen; empty when nobody does
+	seq      uint64
+	vStamp   uint64 // of the warrant key
+}
+
+// New makes an Elector.
+func New(node string, st *store.Client, ck *clock.Clock, op *config.Operator, attest Attester, log *slog.Logger) *Elector {
+	return &Elector{node: node, st: st, ck: ck, attest: attest, log: log,
+		ttl: clock.FromSeconds(op.Lead.TTLs), renew: clock.FromSeconds(op.Lead.RenewS)}
+}
+
+// Leader names the controller that leads, as last seen; empty when unknown.
+func (e *Elector) Leader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
+// MayAnswer tells whether this node is entitled to answer beats right now, and its warrant.
+func (e *Elector) MayAnswer() (warrant uint64, ok bool) {
+	now := e.ck.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.warrant, e.leading && (now < e.until || now < e.attested)
+}
+
+// MayOrder tells whether this node may give new orders: only under a hold that has not lapsed.
+func (e *Elector) MayOrder() (warrant uint64, ok bool) {
+	now := e.ck.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.warrant, e.leading && now < e.until
+}
+
+// Stamp is the lead key's stamp under the current reign.
+func (e *Elector) Stamp() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reign.Stamp
+}
+
+// Run competes until ctx ends. For each reign it calls serve with a context
+// that ends with the reign, and waits for serve to return.
+func (e *Elector) Run(ctx context.Context, serve func(ctx context.Context, r Reign)) {
+	for ctx.Err() == nil {
+		reign, err := e.campaign(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				e.log.Debug("not elected", "error", err)
+				e.pause(ctx, 200*clock.Millisecond+clock.Micros(rand.Int64N(int64(300*clock.Millisecond))))
+			}
+			continue
+		}
+		e.log.Info("leading", "warrant", reign.Warrant)
+		rctx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); serve(rctx, reign) }()
+		e.keep(rctx)
+		e.mu.Lock()
+		e.leading = false
+		hold := e.hold
+		e.leader = ""
+		e.mu.Unlock()
+		cancel()
+		<-done
+		e.log.Info("no longer leading", "warrant", reign.Warrant)
+		// Ended politely where possible: the others need not wait for the hold to lapse.
+		if err := e.st.Drop(ctx, hold); err != nil {
+			e.log.Debug("drop hold", "error", err)
+		}
+	}
+}
+
+func (e *Elector) pause(ctx context.Context, d clock.Micros) {
+	select {
+	case <-ctx.Done():
+	case <-e.ck.After(d.Duration()):
+	}
+}
+
+// campaign waits until the lead key is free and takes it.
+func (e *Elector) campaign(ctx context.Context) (Reign, error) {
+	for ctx.Err() == nil {
+		row, found, err := e.st.Get(ctx, store.Vital, store.KeyLead)
+		if err != nil {
+			return Reign{}, fmt.Errorf("read lead: %w", err)
+		}
+		if !found {
+			break
+		}
+		var rec store.LeadRecord
+		if err := wire.Unmarshal(row.Value, &rec); err != nil {
+			return Reign{}, fmt.Errorf("lead record: %w", err)
+		}
+		e.mu.Lock()
+		e.leader = rec.Node
+		if rec.Node == e.node {
+			// An earlier life of this node still holds the key; it will lapse.
+			e.leader = ""
+		}
+		e.mu.Unlock()
+		ch, err := e.st.Changes(ctx, store.KeyLead, row.Stamp, 4*clock.Second)
+		if err != nil && !errors.Is(err, store.ErrTooOld) {
+			e.mu.Lock()
+			e.leader = ""
+			e.mu.Unlock()
+			return Reign{}, fmt.Errorf("watch lead: %w", err)
+		}
+		for _, ev := range ch.Events {
+			if ev.Delete == store.KeyLead {
+				e.mu.Lock()
+				e.leader = ""
+				e.mu.Unlock()
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		return Reign{}, ctx.Err()
+	}
+	asked := e.ck.Now()
+	hold, err := e.st.Grant(ctx, e.ttl)
+	if err != nil {
+		return Reign{}, fmt.Errorf("ask for a hold: %w", err)
+	}
+	row, found, err := e.st.Get(ctx, store.Vital, store.KeyWarrant)
+	if err != nil {
+		return Reign{}, fmt.Errorf("read warrant: %w", err)
+	}
+	var last store.WarrantRecord
+	if found {
+		if err := wire.Unmarshal(row.Value, &last); err != nil {
+			return Reign{}, fmt.Errorf("warrant record: %w", err)
+		}
+	}
+	nonce := fmt.Sprintf("%s.%d.%d", e.node, e.ck.Wall(), rand.Uint32())
+	epoch, err := e.st.Commit(ctx, store.Vital, wire.Txn{
+		When: []wire.When{{Path: store.KeyLead}, {Path: store.KeyWarrant, Stamp: row.Stamp}},
+		Apply: []wire.Apply{
+			{Set: store.KeyLead, Value: store.LeadRecord{Node: e.node, Nonce: nonce}, Hold: hold},
+			{Set: store.KeyWarrant, Value: store.WarrantRecord{Warrant: last.Warrant + 1, Nonce: nonce}},
+		},
+	})
+	if err != nil {
+		// Not knowing is losing: if the key was taken after all, its hold lapses unrenewed.
+		_ = e.st.Drop(ctx, hold)
+		return Reign{}, fmt.Errorf("take the lead: %w", err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leading, e.leader, e.hold = true, e.node, hold
+	e.warrant, e.vStamp = last.Warrant+1, epoch
+	e.until = asked + e.ttl - holdMargin
+	e.attested = 0
+	e.reign = Reign{Warrant: e.warrant, Stamp: epoch, Since: e.ck.Now()}
+	return e.reign, nil
+}
+
+// keep renews the hold until it is known to have ended.
+func (e *Elector) keep(ctx context.Context) {
+	for {
+		e.pause(ctx, e.renew)
+		if ctx.Err() != nil {
+			return
+		}
+		asked := e.ck.Now()
+		err := e.st.Renew(ctx, e.hold, min(e.renew, clock.Second))
+		switch {
+		case err == nil:
+			e.mu.Lock()
+			e.until = asked + e.ttl - holdMargin
+			e.mu.Unlock()
+			continue
+		case errors.Is(err, store.ErrNoHold):
+			return
+		}
+		e.log.Debug("renewal failed", "error", err)
+		// From here on the leader lives on what is left of its hold, unless every
+		// other controller is refused as well: then nobody can have replaced it.
+		for !errors.Is(err, store.ErrNoHold) && ctx.Err() == nil {
+			asked := e.ck.Now()
+			actx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
+			ok := e.st.Probe(actx, 400*clock.Millisecond) && e.attest(actx)
+			cancel()
+			if ok {
+				e.mu.Lock()
+				e.attested = asked + AttestSpan
+				e.mu.Unlock()
+			}
+			asked = e.ck.Now()
+			err = e.st.Renew(ctx, e.hold, 500*clock.Millisecond)
+			if err == nil {
+				e.mu.Lock()
+				e.until = asked + e.ttl - holdMargin
+				e.mu.Unlock()
+				break
+			}
+			e.pause(ctx, 300*clock.Millisecond)
+		}
+		if errors.Is(err, store.ErrNoHold) {
+			return
+		}
+	}
+}
+
+// Raise takes a higher warrant for the same reign. Commands sent under the old
+// one are void at every worker that has seen the new one.
+func (e *Elector) Raise(ctx context.Context) (uint64, error) {
+	e.mu.Lock()
+	next, stamp, lead := e.warrant+1, e.vStamp, e.reign.Stamp
+	e.seq++
+	nonce := fmt.Sprintf("%s.%d.%d", e.node, lead, e.seq)
+	e.mu.Unlock()
+	epoch, err := e.st.Commit(ctx, store.Urgent, wire.Txn{
+		When:  []wire.When{{Path: store.KeyLead, Stamp: lead}, {Path: store.KeyWarrant, Stamp: stamp}},
+		Apply: []wire.Apply{{Set: store.KeyWarrant, Value: store.WarrantRecord{Warrant: next, Nonce: nonce}}},
+	})
+	if err != nil {
+		// The write may have been done all the same: read what is there before trying again.
+		row, found, rerr := e.st.Get(ctx, store.Urgent, store.KeyWarrant)
+		if rerr != nil || !found {
+			return 0, fmt.Errorf("raise warrant: %w", err)
+		}
+		var rec store.WarrantRecord
+		if uerr := wire.Unmarshal(row.Value, &rec); uerr != nil || rec.Nonce != nonce {
+			e.mu.Lock()
+			if e.leading && e.reign.Stamp == lead && rec.Warrant >= e.warrant && rec.Warrant < next {
+				e.vStamp = row.Stamp
+			}
+			e.mu.Unlock()
+			return 0, fmt.Errorf("raise warrant: %w", err)
+		}
+		epoch = row.Stamp
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.leading || e.reign.Stamp != lead {
+		return 0, errors.New("raise warrant: the reign is over")
+	}
+	e.warrant, e.vStamp = next, epoch
+	return next, nil
+}
--- /dev/null
+++ b/metrics.go
@@ -0,0 +1,103 @@
+package cedardoor
+
+import (
+	"net/http"
+	"sync"
+
+	"cedardoor/clock"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-chi/chi/v5"
+
+	"encoding/json"
+)
+
+// Metrics are the daemon's figures, served as JSON where operators ask for them.
+type Metrics struct {
+	mu     sync.Mutex // guards all fields
+	accept *hdr.Histogram
+	start  *hdr.Histogram
+	round  *hdr.Histogram
+	done   *hdr.Histogram
+	counts map[string]int64
+	gauges map[string]int64
+}
+
+// NewMetrics makes empty figures.
+func NewMetrics() *Metrics {
+	h := func() *hdr.Histogram { return hdr.New(1, int64(3600*clock.Second), 2) }
+	return &Metrics{accept: h(), start: h(), round: h(), done: h(), counts: map[string]int64{}, gauges: map[string]int64{}}
+}
+
+func (m *Metrics) record(h *hdr.Histogram, v clock.Micros) {
+	_ = h.RecordValue(min(max(1, int64(v)), h.HighestTrackableValue()))
+}
+
+// Submission notes a submission's answer.
+func (m *Metrics) Submission(_ string, took clock.Micros, status int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(m.accept, took)
+	switch {
+	case status < 300:
+		m.counts["accepted"]++
+	case status < 500:
+		m.counts["rejected"]++
+	default:
+		m.counts["put_off"]++
+	}
+}
+
+// Start notes a task's start, counted from when the leader learned of its job.
+func (m *Metrics) Start(after clock.Micros) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(m.start, after)
+	m.counts["starts"]++
+}
+
+// Done notes a job's end.
+func (m *Metrics) Done(after clock.Micros) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(m.done, after)
+	m.counts["jobs_done"]++
+}
+
+// Round notes a repair round.
+func (m *Metrics) Round(took clock.Micros, violations, moves int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(m.round, took)
+	m.counts["moves"] += int64(moves)
+	m.gauges["violations"] = int64(violations)
+}
+
+// Queue notes how many tasks wait for room.
+func (m *Metrics) Queue(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges["waiting_tasks"] = int64(n)
+}
+
+// Handler serves the figures.
+func (m *Metrics) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		out := map[string]any{}
+		m.mu.Lock()
+		for name, h := range map[string]*hdr.Histogram{"accept_us": m.accept, "start_us": m.start, "round_us": m.round, "done_us": m.done} {
+			out[name] = map[string]any{"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90), "p99": h.ValueAtQuantile(99), "max": h.Max()}
+		}
+		for k, v := range m.counts {
+			out[k] = v
+		}
+		for k, v := range m.gauges {
+			out[k] = v
+		}
+		m.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	return r
+}
--- /dev/null
+++ b/plan/rules.go
@@ -0,0 +1,103 @@
+package plan
+
+import "slices"
+
+// Why a task is a candidate for repair.
+const (
+	ReasonBan    = "ban"
+	ReasonSpread = "spread"
+)
+
+// slop absorbs rounding of decimal amounts.
+const slop = 1e-6
+
+// Quota is a team's use, limit and guarantee; 0 means none.
+type Quota struct {
+	Cores, CoresMax float64
+	Accel, AccelMax float64
+}
+
+// Rule says whether one more task of a job may be on a machine, given the picture.
+type Rule interface {
+	Allows(p *Picture, j *Job, m *Machine) bool
+}
+
+// Rules is every hard rule that a placement must keep.
+func Rules() []Rule {
+	return []Rule{Ban{}, AllowedType{}, AllowedZone{}, AllowedKind{}, ZoneCap{}, OneZone{}, TeamLimit{}}
+}
+
+// Ban bars tasks from machines that do not report, are sick or are to be emptied.
+type Ban struct{}
+
+// Allows implements Rule.
+func (Ban) Allows(_ *Picture, _ *Job, m *Machine) bool {
+	return m.Usable && m.Banned == "" && !m.Cordoned
+}
+
+// AllowedType keeps a job to its machine types.
+type AllowedType struct{}
+
+// Allows implements Rule.
+func (AllowedType) Allows(_ *Picture, j *Job, m *Machine) bool {
+	return j.Builds == nil || slices.Contains(j.Builds, m.Build)
+}
+
+// AllowedZone keeps a job to its zone.
+type AllowedZone struct{}
+
+// Allows implements Rule.
+func (AllowedZone) Allows(_ *Picture, j *Job, m *Machine) bool {
+	return j.Yard == "" || j.Yard == m.Yard
+}
+
+// AllowedKind keeps jobs that are not loaned off spot machines.
+type AllowedKind struct{}
+
+// Allows implements Rule.
+func (AllowedKind) Allows(_ *Picture, j *Job, m *Machine) bool { return j.Loaned || !m.Loaned }
+
+// ZoneCap keeps at most half of an apart job, rounded up, in one zone. Tasks
+// that may still exist count, wherever they may be.
+type ZoneCap struct{}
+
+// Allows implements Rule.
+func (ZoneCap) Allows(_ *Picture, j *Job, m *Machine) bool {
+	return !j.Apart || j.Zones[m.Yard] < (j.Pieces+1)/2
+}
+
+// OneZone keeps a same_place job in the zone where any of it may be.
+type OneZone struct{}
+
+// Allows implements Rule.
+func (OneZone) Allows(_ *Picture, j *Job, m *Machine) bool {
+	if !j.SamePlace {
+		return true
+	}
+	for z, n := range j.Zones {
+		if n > 0 && z != m.Yard {
+			return false
+		}
+	}
+	return true
+}
+
+// TeamLimit keeps a team's tasks, those that may still exist included, within its limit.
+type TeamLimit struct{}
+
+// Allows implements Rule.
+func (TeamLimit) Allows(p *Picture, j *Job, _ *Machine) bool {
+	q := p.Team[j.Team]
+	if q == nil {
+		return true
+	}
+	return (q.CoresMax == 0 || q.Cores+j.Cores <= q.CoresMax+slop) &&
+		(q.AccelMax == 0 || q.Accel+j.Accel <= q.AccelMax+slop)
+}
+
+// room is the capacity rule: what is booked on a machine fits it.
+func room(j *Job, m *Machine) bool { return enough(j, m.Cores, m.Accel, m.RAM) }
+
+func enough(j *Job, cores, accel, ram float64) bool {
+	return j.Cores <= cores+slop && j.Accel <= accel+slop && j.RAM <= ram+slop
+}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,259 @@
+// Package cedardoor is a cluster scheduler: the leading controller repairs the
+// placement of tasks whenever rules break, starts and stops them through the
+// machines' workers, and sizes the fleet. docs/design.md tells why it is as it is.
+package cedardoor
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cedardoor/agent"
+	"cedardoor/api"
+	"cedardoor/clock"
+	"cedardoor/cloud"
+	"cedardoor/config"
+	"cedardoor/lead"
+	"cedardoor/peer"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Service is one controller.
+type Service struct {
+	cfg     *config.Platform
+	op      *config.Operator
+	ck      *clock.Clock
+	st      *store.Client
+	el      *lead.Elector
+	workers *agent.Client
+	cl      *cloud.Client
+	users   *api.Users
+	links   map[string]*peer.Link
+	log     *slog.Logger
+	met     *Metrics
+	reign   atomic.Pointer[reign]
+
+	catMu sync.Mutex // guards cat and catAt
+	cat   wire.Catalog
+	catAt clock.Micros
+}
+
+// New wires a controller's parts; Run starts it.
+func New(cfg *config.Platform, op *config.Operator, log *slog.Logger) *Service {
+	s := &Service{cfg: cfg, op: op, log: log, ck: clock.New(nil), met: NewMetrics(), links: map[string]*peer.Link{}}
+	f := cfg.Facts
+	s.st = store.New(cfg.Outside.State, f.State, len(cfg.Others)+1)
+	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
+	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/4))
+	for _, o := range cfg.Others {
+		s.links[o.Node] = peer.NewLink(o.Addr)
+	}
+	s.el = lead.New(cfg.Node, s.st, s.ck, op, s.attest, log)
+	s.users = &api.Users{Store: s.st, Clock: s.ck, Node: cfg.Node, Teams: f.Teams, Catalog: s.catalog, Count: s.count, Log: log, Observe: s.met.Submission}
+	return s
+}
+
+// Run serves until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	// The collector is asked to stay well under the process's limit.
+	debug.SetMemoryLimit(int64(s.cfg.Facts.Limits.MemMB * 0.55 * (1 << 20)))
+	front, err := net.Listen("tcp", s.cfg.ClientListen)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	back, err := net.Listen("tcp", s.cfg.Back)
+	if err != nil {
+		front.Close()
+		return fmt.Errorf("listen for controllers: %w", err)
+	}
+	r := chi.NewRouter()
+	s.users.Routes(r)
+	r.Post(wire.PathBeat, agent.ServeBeat(s))
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
+		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+	var wg sync.WaitGroup
+	failed := make(chan error, 2)
+	wg.Go(func() {
+		failed <- srv.Serve(newLimit(front, max(8, s.cfg.Facts.Limits.FDLimit*6/10)))
+	})
+	if s.op.Metrics.Listen != "" {
+		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.met.Handler(), ReadHeaderTimeout: 10 * time.Second}
+		wg.Go(func() {
+			if err := ms.ListenAndServe(); ctx.Err() == nil {
+				failed <- fmt.Errorf("metrics: %w", err)
+			}
+		})
+		context.AfterFunc(ctx, func() { ms.Close() })
+	}
+	wg.Go(func() { peer.Serve(ctx, back, s.answerPeer, s.log) })
+	wg.Go(func() { s.el.Run(ctx, s.lead) })
+	s.log.Info("serving", "node", s.cfg.Node, "listen", s.cfg.ClientListen)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	srv.Close()
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// lead is one reign of this node.
+func (s *Service) lead(ctx context.Context, r lead.Reign) {
+	for ctx.Err() == nil {
+		g := newReign(s, r)
+		s.reign.Store(g)
+		if err := g.run(ctx); err != nil {
+			s.log.Error("leading", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.ck.After(200 * time.Millisecond):
+		}
+	}
+	s.reign.Store(nil)
+}
+
+// Beat implements agent.Steward.
+func (s *Service) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) {
+	g := s.reign.Load()
+	if g == nil {
+		return wire.BeatAnswer{}, false
+	}
+	return g.Beat(rep)
+}
+
+// Leader implements agent.Steward.
+func (s *Service) Leader() string {
+	if name := s.el.Leader(); name != s.cfg.Node {
+		return name
+	}
+	return ""
+}
+
+// answerPeer answers another controller's question.
+func (s *Service) answerPeer(ctx context.Context, a peer.Ask) peer.Reply {
+	var r peer.Reply
+	if a.Attest {
+		r.Refused = s.st.Probe(ctx, 500*clock.Millisecond)
+	}
+	if a.Count != "" {
+		if g := s.reign.Load(); g != nil {
+			r.Done, r.Running, r.Known = g.counts(a.Count)
+		}
+	}
+	return r
+}
+
+// attest asks every other controller whether the state service refuses it too.
+// Only when all say so, freshly, can nobody else be leading.
+func (s *Service) attest(ctx context.Context) bool {
+	if len(s.links) == 0 {
+		return true
+	}
+	answers := make(chan bool, len(s.links))
+	for _, l := range s.links {
+		go func() {
+			r, err := l.Ask(ctx, peer.Ask{Attest: true})
+			answers <- err == nil && r.Refused
+		}()
+	}
+	all := true
+	for range s.links {
+		all = <-answers && all
+	}
+	return all
+}
+
+// count asks the leader for a job's counts, which are for display only.
+func (s *Service) count(ctx context.Context, uid string) (done, running int) {
+	if g := s.reign.Load(); g != nil {
+		done, running, _ = g.counts(uid)
+		return done, running
+	}
+	l := s.links[s.el.Leader()]
+	if l == nil {
+		return 0, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
+	defer cancel()
+	r, err := l.Ask(ctx, peer.Ask{Count: uid})
+	if err != nil {
+		return 0, 0
+	}
+	return r.Done, r.Running
+}
+
+// catalog gives the machine types as last seen by any leader, or by this node itself.
+func (s *Service) catalog(ctx context.Context) (wire.Catalog, bool) {
+	now := s.ck.Now()
+	s.catMu.Lock()
+	cat, fresh := s.cat, s.catAt != 0 && now-s.catAt < 30*clock.Second
+	s.catMu.Unlock()
+	if fresh {
+		return cat, true
+	}
+	row, found, err := s.st.Get(ctx, store.Normal, store.KeyCatalog)
+	var got wire.Catalog
+	if err == nil && found && wire.Unmarshal(row.Value, &got) == nil && len(got.Builds) > 0 {
+		s.catMu.Lock()
+		s.cat, s.catAt = got, now
+		s.catMu.Unlock()
+		return got, true
+	}
+	if len(cat.Builds) > 0 {
+		return cat, true // sizes hardly change: the last known will do
+	}
+	got, err = s.cl.Catalog(ctx)
+	if err != nil {
+		return wire.Catalog{}, false
+	}
+	s.catMu.Lock()
+	s.cat, s.catAt = got, now
+	s.catMu.Unlock()
+	return got, true
+}
+
+// limit is a listener that leaves connections beyond a number unaccepted, so
+// that the load balancer turns to another node.
+type limit struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func newLimit(l net.Listener, n int) *limit {
+	return &limit{Listener: l, slots: make(chan struct{}, n)}
+}
+
+// Accept implements net.Listener.
+func (l *limit) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limited{Conn: c, free: func() { <-l.slots }}, nil
+}
+
+type limited struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+// Close implements net.Conn.
+func (c *limited) Close() error {
+	c.once.Do(c.free)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,340 @@
+// Package store talks to the state service: reads, guarded transactions,
+// holds and watches, each within the service's request budget.
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/wire"
+
+	"golang.org/x/time/rate"
+)
+
+// What a request to the state service can come to, besides success.
+var (
+	// ErrRefused means that the service did not execute the request.
+	ErrRefused = errors.New("state service refused")
+	// ErrUnknown means that the request may have been executed, or still may be.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrNoHold means that a hold has ended.
+	ErrNoHold = errors.New("no such hold")
+	// ErrTooOld means that a watch began too far back.
+	ErrTooOld = errors.New("watch is too old")
+	// ErrBadAnswer means that the service's answer could not be understood.
+	ErrBadAnswer = errors.New("bad answer from the state service")
+)
+
+// Conflict is a transaction whose conditions did not hold; nothing was applied.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+// Priority orders requests when the budget is short.
+type Priority int
+
+// The priorities: Vital requests (leadership) are never held back.
+const (
+	Normal Priority = iota
+	Urgent
+	Vital
+)
+
+// maxAnswer bounds what a read may take into memory.
+const maxAnswer = 8 << 20
+
+// Client is one node's link to the state service.
+type Client struct {
+	base     string
+	http     *http.Client
+	watch    *http.Client
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	timeout  time.Duration
+}
+
+// New makes a Client. The limits are the whole service's, so each node plans
+// with a share of them; the leader, which writes most, is given more by Lead.
+func New(addr string, limits config.State, nodes int) *Client {
+	tr := func(conns int) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: 1500 * time.Millisecond}).DialContext,
+				MaxConnsPerHost:     conns,
+				MaxIdleConnsPerHost: conns,
+				IdleConnTimeout:     60 * time.Second,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	c := &Client{base: "http://" + addr, http: tr(24), watch: tr(4), timeout: 2 * time.Second}
+	c.requests = rate.NewLimiter(rate.Limit(limits.RPS*0.3), max(2, int(limits.RPS*0.25)))
+	c.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS*0.5), max(limits.TxnOps, int(limits.WriteRPS*0.5)))
+	return c
+}
+
+func (c *Client) admit(ctx context.Context, prio Priority, puts int) error {
+	if prio == Vital {
+		// Leadership is never starved: it takes its tokens without waiting for them.
+		c.requests.Allow()
+		c.writes.AllowN(time.Now(), puts)
+		return nil
+	}
+	if prio == Normal {
+		if !c.requests.Allow() || puts > 0 && !c.writes.AllowN(time.Now(), puts) {
+			return fmt.Errorf("%w: over this node's request budget", ErrRefused)
+		}
+		return nil
+	}
+	if err := c.requests.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if puts > 0 {
+		if err := c.writes.WaitN(ctx, min(puts, c.writes.Burst())); err != nil {
+			return fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
+	return nil
+}
+
+// call sends one request and gives the status and body of its answer.
+func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, body any) (int, []byte, error) {
+	var payload io.Reader
+	if body != nil {
+		raw, err := wire.Marshal(body)
+		if err != nil {
+			return 0, nil, fmt.Errorf("encode request: %w", err)
+		}
+		payload = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
+	if err != nil {
+		return 0, nil, fmt.Errorf("state request: %w", err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+		// A request that may have been executed is never repeated behind the caller's back.
+		req.GetBody = nil
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return 0, nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if len(raw) > maxAnswer {
+		return 0, nil, fmt.Errorf("%w: too large", ErrBadAnswer)
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return resp.StatusCode, nil, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	}
+	return resp.StatusCode, raw, nil
+}
+
+func decode(raw []byte, v any) error {
+	if err := wire.Unmarshal(raw, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	return nil
+}
+
+func unexpected(status int, raw []byte) error {
+	return fmt.Errorf("%w: status %d: %.120q", ErrBadAnswer, status, raw)
+}
+
+// Get reads one key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, prio Priority, key string) (row wire.Row, found bool, err error) {
+	if err := c.admit(ctx, prio, 0); err != nil {
+		return row, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, raw, err := c.call(ctx, c.http, http.MethodGet, wire.PathKV+"/"+key, nil)
+	switch {
+	case err != nil:
+		return row, false, err
+	case status == http.StatusOK:
+		return row, true, decode(raw, &row)
+	case status == http.StatusNotFound:
+		return row, false, nil
+	}
+	return row, false, unexpected(status, raw)
+}
+
+// Page reads up to limit keys with a prefix, after since.
+func (c *Client) Page(ctx context.Context, prio Priority, prefix, since string, limit int) (wire.Rows, error) {
+	var rows wire.Rows
+	if err := c.admit(ctx, prio, 0); err != nil {
+		return rows, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*c.timeout)
+	defer cancel()
+	q := url.Values{"starts": {prefix}, "limit": {strconv.Itoa(limit)}}
+	if since != "" {
+		q.Set("since", since)
+	}
+	status, raw, err := c.call(ctx, c.http, http.MethodGet, wire.PathKV+"?"+q.Encode(), nil)
+	if err != nil {
+		return rows, err
+	}
+	if status != http.StatusOK {
+		return rows, unexpected(status, raw)
+	}
+	return rows, decode(raw, &rows)
+}
+
+// List reads every key with a prefix. The epoch is the first page's, so that a
+// watch from it misses nothing that changed while later pages were read.
+func (c *Client) List(ctx context.Context, prio Priority, prefix string) (rows []wire.Row, epoch uint64, err error) {
+	since := ""
+	for {
+		page, err := c.Page(ctx, prio, prefix, since, 1000)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if epoch == 0 {
+			epoch = page.Epoch
+		}
+		rows = append(rows, page.Rows...)
+		if !page.HasNext || len(page.Rows) == 0 {
+			return rows, epoch, nil
+		}
+		since = page.Rows[len(page.Rows)-1].Path
+	}
+}
+
+// Commit runs a transaction. Its error is a *Conflict when conditions failed.
+func (c *Client) Commit(ctx context.Context, prio Priority, txn wire.Txn) (uint64, error) {
+	if err := c.admit(ctx, prio, len(txn.Apply)); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if txn.When == nil {
+		txn.When = []wire.When{}
+	}
+	if txn.Apply == nil {
+		txn.Apply = []wire.Apply{}
+	}
+	status, raw, err := c.call(ctx, c.http, http.MethodPost, wire.PathCommit, txn)
+	if err != nil {
+		return 0, err
+	}
+	var ans wire.TxnAnswer
+	switch status {
+	case http.StatusOK:
+		if err := decode(raw, &ans); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		return ans.Epoch, nil
+	case http.StatusConflict:
+		if err := decode(raw, &ans); err != nil {
+			return 0, err
+		}
+		return ans.Epoch, &Conflict{Failed: ans.Failed}
+	case http.StatusBadRequest:
+		var e wire.Error
+		if wire.Unmarshal(raw, &e) == nil && e.Error == "no such lease" {
+			return 0, ErrNoHold
+		}
+	}
+	return 0, unexpected(status, raw)
+}
+
+// Grant asks for a hold.
+func (c *Client) Grant(ctx context.Context, ttl clock.Micros) (uint64, error) {
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, raw, err := c.call(ctx, c.http, http.MethodPost, wire.PathHolds, wire.HoldRequest{TTLms: int64(ttl / clock.Millisecond)})
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, unexpected(status, raw)
+	}
+	var ans wire.HoldAnswer
+	return ans.Hold, decode(raw, &ans)
+}
+
+// Renew keeps a hold; ErrNoHold tells that it has ended.
+func (c *Client) Renew(ctx context.Context, hold uint64, timeout clock.Micros) error {
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	status, raw, err := c.call(ctx, c.http, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.PathHolds, hold, wire.SuffixRenew), struct{}{})
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNoHold
+	}
+	return unexpected(status, raw)
+}
+
+// Drop ends a hold at once.
+func (c *Client) Drop(ctx context.Context, hold uint64) error {
+	if err := c.admit(ctx, Vital, 0); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, _, err := c.call(ctx, c.http, http.MethodDelete, fmt.Sprintf("%s/%d", wire.PathHolds, hold), nil)
+	return err
+}
+
+// Changes waits for changes after since; ErrTooOld asks the caller to read again.
+func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.Changes, error) {
+	var ch wire.Changes
+	if err := c.admit(ctx, Urgent, 0); err != nil {
+		return ch, err
+	}
+	// A watch stays open through an outage, so its limit is only there against a dead link.
+	ctx, cancel := context.WithTimeout(ctx, block.Duration()+5*time.Second)
+	defer cancel()
+	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)}, "block_ms": {strconv.FormatInt(int64(block/clock.Millisecond), 10)}}
+	status, raw, err := c.call(ctx, c.watch, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil)
+	switch {
+	case err != nil:
+		return ch, err
+	case status == http.StatusOK:
+		return ch, decode(raw, &ch)
+	case status == http.StatusGone:
+		return ch, ErrTooOld
+	}
+	return ch, unexpected(status, raw)
+}
+
+// Probe asks once whether the service refuses this node right now: true only
+// after a definite refusal, never after silence.
+func (c *Client) Probe(ctx context.Context, timeout clock.Micros) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	status, _, err := c.call(ctx, c.http, http.MethodGet, wire.PathKV+"/lead", nil)
+	return errors.Is(err, ErrRefused) && status == http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/store/records.go
@@ -0,0 +1,144 @@
+package store
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cedardoor/wire"
+)
+
+// Keys of the state service. A job lives under "j/" until it is over and
+// under "f/" for ever after; the two change in one transaction, so a reader
+// that looks at "j/" first and then at "f/" never misses it. That keeps what
+// a new leader has to read to the unfinished jobs.
+const (
+	KeyLead    = "lead"
+	KeyWarrant = "warrant"
+	KeyCatalog = "catalog"
+	PrefixJob  = "j/"
+	PrefixOver = "f/"
+	PrefixRuns = "p/"
+)
+
+// JobKey names the record of an unfinished job.
+func JobKey(uid string) string { return PrefixJob + uid }
+
+// OverKey names the record of a job that is over.
+func OverKey(uid string) string { return PrefixOver + uid }
+
+// ChunkKey names the record of one run of a job's tasks.
+func ChunkKey(uid string, chunk int) string { return fmt.Sprintf("%s%s/%05d", PrefixRuns, uid, chunk) }
+
+// ParseChunkKey is the inverse of ChunkKey.
+func ParseChunkKey(key string) (uid string, chunk int, ok bool) {
+	uid, num, found := strings.Cut(strings.TrimPrefix(key, PrefixRuns), "/")
+	chunk, err := strconv.Atoi(num)
+	return uid, chunk, found && err == nil && chunk >= 0 && strings.HasPrefix(key, PrefixRuns)
+}
+
+// LeadRecord says who leads.
+type LeadRecord struct {
+	Node  string `msgpack:"n"`
+	Nonce string `msgpack:"w"`
+}
+
+// WarrantRecord is the durable counter of warrants.
+type WarrantRecord struct {
+	Warrant uint64 `msgpack:"t"`
+	Nonce   string `msgpack:"w"`
+}
+
+// JobRecord is an accepted, unfinished job.
+type JobRecord struct {
+	Spec wire.Spec `msgpack:"s"`
+	AtUS int64     `msgpack:"a"`
+	Node string    `msgpack:"n"`
+}
+
+// OverRecord is a job's final state.
+type OverRecord struct {
+	Status string `msgpack:"s"`
+	Pieces int    `msgpack:"p"`
+	Nonce  string `msgpack:"w"`
+}
+
+// Placed is a task's recorded attempt: an empty Host means that it waits.
+type Placed struct {
+	Index  int
+	Try    uint64
+	Host   string
+	Tenure uint64
+}
+
+// ChunkRecord holds the attempts and results of up to ChunkPieces tasks.
+// Done is a hexadecimal bitmap; Runs holds [index, try, host number, tenure],
+// with host number -1 for a task that waits after an attempt.
+type ChunkRecord struct {
+	Nonce string    `msgpack:"w"`
+	Done  string    `msgpack:"d"`
+	Hosts []string  `msgpack:"h"`
+	Runs  [][]int64 `msgpack:"r"`
+}
+
+// ChunkPieces is how many tasks one record holds: 120 rows of at most about 30
+// bytes in JSON form and as many host names stay under the smallest value limit.
+const ChunkPieces = 120
+
+// Pack builds a chunk's record. Indexes count from the chunk's first task.
+func Pack(nonce string, done []bool, runs []Placed) ChunkRecord {
+	rec := ChunkRecord{Nonce: nonce, Hosts: []string{}, Runs: make([][]int64, 0, len(runs))}
+	var b strings.Builder
+	for i := 0; i < len(done); i += 4 {
+		v := 0
+		for k := range 4 {
+			if i+k < len(done) && done[i+k] {
+				v |= 1 << k
+			}
+		}
+		b.WriteString(strconv.FormatInt(int64(v), 16))
+	}
+	rec.Done = b.String()
+	number := map[string]int64{"": -1}
+	for _, r := range runs {
+		n, ok := number[r.Host]
+		if !ok {
+			n = int64(len(rec.Hosts))
+			number[r.Host] = n
+			rec.Hosts = append(rec.Hosts, r.Host)
+		}
+		rec.Runs = append(rec.Runs, []int64{int64(r.Index), int64(r.Try), n, int64(r.Tenure)})
+	}
+	return rec
+}
+
+// Unpack is the inverse of Pack for a chunk of n tasks.
+func (rec ChunkRecord) Unpack(n int) (done []bool, runs []Placed, err error) {
+	done = make([]bool, n)
+	for i, c := range rec.Done {
+		v, err := strconv.ParseInt(string(c), 16, 8)
+		if err != nil {
+			return nil, nil, fmt.Errorf("chunk bitmap: %w", err)
+		}
+		for k := range 4 {
+			if v&(1<<k) == 0 {
+				continue
+			}
+			if i*4+k >= n {
+				return nil, nil, fmt.Errorf("chunk bitmap: task %d of %d", i*4+k, n)
+			}
+			done[i*4+k] = true
+		}
+	}
+	for _, r := range rec.Runs {
+		if len(r) != 4 || r[0] < 0 || r[0] >= int64(n) || r[1] < 0 || r[2] < -1 || r[2] >= int64(len(rec.Hosts)) || r[3] < 0 {
+			return nil, nil, fmt.Errorf("chunk row %v", r)
+		}
+		p := Placed{Index: int(r[0]), Try: uint64(r[1]), Tenure: uint64(r[3])}
+		if r[2] >= 0 {
+			p.Host = rec.Hosts[r[2]]
+		}
+		runs = append(runs, p)
+	}
+	return done, runs, nil
+}
--- /dev/null
+++ b/wire/decode.go
@@ -0,0 +1,263 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// ErrMalformed marks a body that is not what the protocol asks for.
+var ErrMalformed = errors.New("malformed")
+
+// Marshal encodes a body.
+func Marshal(v any) ([]byte, error) { return msgpack.Marshal(v) }
+
+// Unmarshal decodes a body whose unknown fields are ignored; bytes after it are an error.
+func Unmarshal(body []byte, v any) error {
+	r := bytes.NewReader(body)
+	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if r.Len() != 0 {
+		return fmt.Errorf("%w: bytes after the body", ErrMalformed)
+	}
+	return nil
+}
+
+// fields walks a map body and calls f for each key; f decodes the value or skips it.
+func fields(body []byte, f func(dec *msgpack.Decoder, key string) error) error {
+	r := bytes.NewReader(body)
+	dec := msgpack.NewDecoder(r)
+	n, err := dec.DecodeMapLen()
+	if err != nil || n < 0 {
+		return fmt.Errorf("%w: not a map", ErrMalformed)
+	}
+	for range n {
+		key, err := dec.DecodeString()
+		if err != nil {
+			return fmt.Errorf("%w: a key is not text", ErrMalformed)
+		}
+		if err := f(dec, key); err != nil {
+			return fmt.Errorf("%w: field %s: %w", ErrMalformed, key, err)
+		}
+	}
+	if _, err := dec.PeekCode(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: bytes after the body", ErrMalformed)
+	}
+	return nil
+}
+
+// null consumes a null, if the next value is one.
+func null(dec *msgpack.Decoder) (bool, error) {
+	c, err := dec.PeekCode()
+	if err != nil {
+		return false, err
+	}
+	if c != msgpcode.Nil {
+		return false, nil
+	}
+	return true, dec.DecodeNil()
+}
+
+func text(dec *msgpack.Decoder) (string, error) {
+	c, err := dec.PeekCode()
+	if err != nil {
+		return "", err
+	}
+	if !msgpcode.IsString(c) {
+		return "", errors.New("not text")
+	}
+	return dec.DecodeString()
+}
+
+func flag(dec *msgpack.Decoder) (bool, error) {
+	c, err := dec.PeekCode()
+	if err != nil {
+		return false, err
+	}
+	if c != msgpcode.True && c != msgpcode.False {
+		return false, errors.New("not true or false")
+	}
+	return dec.DecodeBool()
+}
+
+// amount decodes a finite number that is not negative.
+func amount(dec *msgpack.Decoder) (float64, error) {
+	c, err := dec.PeekCode()
+	if err != nil {
+		return 0, err
+	}
+	if c == msgpcode.Nil || c == msgpcode.True || c == msgpcode.False || msgpcode.IsString(c) {
+		return 0, errors.New("not a number")
+	}
+	v, err := dec.DecodeFloat64()
+	if err != nil {
+		return 0, err
+	}
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return 0, errors.New("negative or not finite")
+	}
+	return v, nil
+}
+
+// UIDOf reads only the id of a submission, so that a known job can be
+// recognised whatever else its repeat holds.
+func UIDOf(body []byte) string {
+	var uid string
+	_ = fields(body, func(dec *msgpack.Decoder, key string) error {
+		if key != "uid" {
+			return dec.Skip()
+		}
+		var err error
+		uid, err = text(dec)
+		return err
+	})
+	if !ValidUID(uid) {
+		return ""
+	}
+	return uid
+}
+
+// DecodeSpec reads a submission field by field; a missing or invalid field is ErrMalformed.
+func DecodeSpec(body []byte) (Spec, error) {
+	var s Spec
+	seen := map[string]bool{}
+	str := func(dst *string) func(*msgpack.Decoder) error {
+		return func(d *msgpack.Decoder) (err error) { *dst, err = text(d); return err }
+	}
+	num := func(dst *float64) func(*msgpack.Decoder) error {
+		return func(d *msgpack.Decoder) (err error) { *dst, err = amount(d); return err }
+	}
+	yes := func(dst *bool) func(*msgpack.Decoder) error {
+		return func(d *msgpack.Decoder) (err error) { *dst, err = flag(d); return err }
+	}
+	readers := map[string]func(*msgpack.Decoder) error{
+		"uid": str(&s.UID), "lane": str(&s.Lane), "owner": str(&s.Owner), "shape": str(&s.Shape),
+		"rank": str(&s.Rank), "bundle": str(&s.Bundle),
+		"cores": num(&s.Cores), "accelerators": num(&s.Accel), "ram_gb": num(&s.RAM),
+		"image_gb": num(&s.ImageGB), "expect_s": num(&s.ExpectS),
+		"bookmark_s": num(&s.BookmarkS), "stow_s": num(&s.StowS),
+		"same_place": yes(&s.SamePlace), "apart": yes(&s.Apart), "loaned": yes(&s.Loaned),
+		"pieces": func(d *msgpack.Decoder) error {
+			v, err := amount(d)
+			if err != nil {
+				return err
+			}
+			if v != math.Trunc(v) || v < 1 || v > MaxPieces {
+				return errors.New("not a whole number from 1 to 100000")
+			}
+			s.Pieces = int(v)
+			return nil
+		},
+		"yard": func(d *msgpack.Decoder) error {
+			if isNull, err := null(d); isNull || err != nil {
+				return err
+			}
+			v, err := text(d)
+			if err == nil && v == "" {
+				err = errors.New("empty")
+			}
+			s.Yard = v
+			return err
+		},
+		"due_s": func(d *msgpack.Decoder) error {
+			if isNull, err := null(d); isNull || err != nil {
+				return err
+			}
+			v, err := amount(d)
+			s.DueS = &v
+			return err
+		},
+		"builds": func(d *msgpack.Decoder) error {
+			if isNull, err := null(d); isNull || err != nil {
+				return err
+			}
+			n, err := d.DecodeArrayLen()
+			if err != nil {
+				return err
+			}
+			if n < 0 || n > 1000 {
+				return errors.New("not a list of types")
+			}
+			s.Builds = make([]string, 0, n)
+			for range n {
+				b, err := text(d)
+				if err != nil {
+					return err
+				}
+				s.Builds = append(s.Builds, b)
+			}
+			return nil
+		},
+	}
+	err := fields(body, func(dec *msgpack.Decoder, key string) error {
+		read, known := readers[key]
+		if !known {
+			return dec.Skip()
+		}
+		seen[key] = true
+		return read(dec)
+	})
+	if err != nil {
+		return Spec{}, err
+	}
+	for key := range readers {
+		if !seen[key] && key != "yard" && key != "due_s" && key != "builds" {
+			return Spec{}, fmt.Errorf("%w: field %s is missing", ErrMalformed, key)
+		}
+	}
+	_, ranked := RankOf(s.Rank)
+	switch {
+	case !ValidUID(s.UID):
+		err = errors.New("uid: not a job id")
+	case s.Shape != ShapeBatch && s.Shape != ShapeStanding:
+		err = errors.New("shape: unknown")
+	case !ranked:
+		err = errors.New("rank: unknown")
+	case s.Lane == "" || s.Owner == "" || s.Bundle == "":
+		err = errors.New("an empty lane, owner or bundle")
+	case len(s.Lane) > 256 || len(s.Owner) > 256 || len(s.Bundle) > 256 || len(s.Yard) > 256 || listBytes(s.Builds) > 2048:
+		err = errors.New("a name is too long")
+	case s.Cores == 0 && s.RAM == 0 && s.Accel == 0:
+		err = errors.New("a task that takes nothing")
+	}
+	if err != nil {
+		return Spec{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return s, nil
+}
+
+func listBytes(list []string) int {
+	n := 0
+	for _, s := range list {
+		n += len(s) + 1
+	}
+	return n
+}
+
+// DecodeBeat reads a worker's report and checks what the fleet relies on.
+func DecodeBeat(body []byte) (Beat, error) {
+	var b Beat
+	if err := Unmarshal(body, &b); err != nil {
+		return Beat{}, err
+	}
+	if b.Host == "" || len(b.Host) > 128 || b.Tenure == 0 || b.Endpoint == "" || b.Build == "" || b.Yard == "" {
+		return Beat{}, fmt.Errorf("%w: a report without host, endpoint, build, yard or tenure", ErrMalformed)
+	}
+	for _, p := range b.Pieces {
+		if p.Piece == "" {
+			return Beat{}, fmt.Errorf("%w: a task without a name", ErrMalformed)
+		}
+		switch p.Status {
+		case PieceFetching, PieceRunning, PieceFlushing, PieceEnded:
+		default:
+			return Beat{}, fmt.Errorf("%w: task state %q", ErrMalformed, p.Status)
+		}
+	}
+	return b, nil
+}
