--- /dev/null
+++ b/engine_test.go
@@ -0,0 +1,697 @@
+package cedardoor
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/internal/standin"
+	"cedardoor/lead"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+)
+
+// site is a small platform with scripted parts and a fake clock.
+type site struct {
+	t     *testing.T
+	clk   *clockwork.FakeClock
+	state *standin.State
+	cloud *standin.Cloud
+	nodes int
+}
+
+var bigBuild = wire.Build{SKU: "b", Cores: 8, RAM: 32, Hourly: 1, Spot: 0.4, ReadyS: 30, Yards: []string{"x", "y"}}
+
+func newSite(t *testing.T) *site {
+	clk := clockwork.NewFakeClock()
+	return &site{t: t, clk: clk, state: standin.NewState(clk), cloud: standin.NewCloud(bigBuild)}
+}
+
+func (s *site) server(h http.Handler) string {
+	srv := httptest.NewServer(h)
+	s.t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// node makes one controller of the site.
+func (s *site) node(mod func(f *config.Facts)) *Service {
+	s.nodes++
+	cfg := &config.Platform{Node: fmt.Sprintf("node-%d", s.nodes), ClientListen: "127.0.0.1:0", Back: "127.0.0.1:0"}
+	cfg.Outside.State = s.server(s.state.Handler(cfg.Node))
+	cfg.Outside.Cloud = s.server(s.cloud)
+	cfg.Facts = config.Facts{InitialSize: 3, Zones: []string{"x", "y"}, Teams: []config.Team{{Name: "team"}},
+		Workers: config.Workers{ReportS: 3, LeaseS: 18, CancelS: 40},
+		State:   config.State{RPS: 10000, WriteRPS: 10000, ValueKB: 8, TxnOps: 24},
+		Cloud:   config.Cloud{RPS: 1000, ListLagS: 8},
+		Limits:  config.Limits{CoreShare: 1, MemMB: 200, FDLimit: 500}}
+	if mod != nil {
+		mod(&cfg.Facts)
+	}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return newService(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)), clock.New(s.clk))
+}
+
+// elect makes a node lead for the rest of the test, or until stop is called.
+func (s *site) elect(n *Service) (g *reign, stop func()) {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	ready := make(chan lead.Reign)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.el.Run(ctx, func(ctx context.Context, r lead.Reign) {
+			select {
+			case ready <- r:
+			case <-ctx.Done():
+			}
+			<-ctx.Done()
+		})
+	}()
+	stop = func() { cancel(); <-done }
+	s.t.Cleanup(stop)
+	select {
+	case r := <-ready:
+		g = newReign(n, r)
+	case <-time.After(10 * time.Second):
+		s.t.Fatal("not elected")
+	}
+	if _, err := g.load(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	g.catalog = wire.Catalog{Builds: s.cloud.Builds}
+	g.fl.SetCatalog(g.catalog)
+	return g, stop
+}
+
+// advance moves the clock in steps, letting the leader renew its hold at each.
+func (s *site) advance(d time.Duration) {
+	s.t.Helper()
+	for ; d > 0; d -= time.Second {
+		s.clk.Advance(min(d, time.Second))
+		if err := s.clk.BlockUntilContext(s.t.Context(), 1); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// worker makes a worker whose /do is served.
+func (s *site) worker(host, yard string, loaned bool) *standin.Worker {
+	w := standin.NewWorker(host, "", "b", yard, loaned)
+	w.Beats.Endpoint = s.server(w)
+	return w
+}
+
+// users serves a node's users' interface and answers one request.
+func (s *site) ask(n *Service, method, path string, body any) (int, wire.View, http.Header) {
+	s.t.Helper()
+	r := chi.NewRouter()
+	n.users.Routes(r)
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	case wire.Spec:
+		raw = bodyOf(s.t, b, nil)
+	default:
+		var err error
+		if raw, err = wire.Marshal(b); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	rec := httptest.NewRecorder()
+	r.ServeHTTP(rec, httptest.NewRequestWithContext(s.t.Context(), method, path, bytes.NewReader(raw)))
+	var v wire.View
+	_ = wire.Unmarshal(rec.Body.Bytes(), &v)
+	return rec.Code, v, rec.Header()
+}
+
+func spec(uid string, mod func(*wire.Spec)) wire.Spec {
+	sp := wire.Spec{UID: uid, Lane: "lane", Owner: "team", Shape: wire.ShapeBatch, Rank: "standard", Pieces: 1, Cores: 2, RAM: 4,
+		Bundle: "img", ImageGB: 1, Loaned: true, ExpectS: 10}
+	if mod != nil {
+		mod(&sp)
+	}
+	return sp
+}
+
+// bodyOf is a submission's body, changed by mod.
+func bodyOf(t *testing.T, sp wire.Spec, mod func(m map[string]any)) []byte {
+	t.Helper()
+	raw, err := wire.Marshal(sp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := map[string]any{}
+	if err := wire.Unmarshal(raw, &m); err != nil {
+		t.Fatal(err)
+	}
+	if sp.Yard == "" {
+		m["yard"] = nil
+	}
+	if mod != nil {
+		mod(m)
+	}
+	if raw, err = wire.Marshal(m); err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func (s *site) submit(n *Service, sp wire.Spec) {
+	s.t.Helper()
+	if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, sp); code != http.StatusCreated {
+		s.t.Fatalf("submit %s: status %d", sp.UID, code)
+	}
+}
+
+// beat lets a worker report to the leader and execute the answer.
+func beat(t *testing.T, g *reign, w *standin.Worker) {
+	t.Helper()
+	rep := w.Report()
+	ans, ok := g.Beat(&rep)
+	if !ok {
+		t.Fatalf("beat of %s not answered", rep.Host)
+	}
+	w.Take(ans)
+}
+
+// settle runs passes until all direct commands have landed and been taken in.
+func (s *site) settle(g *reign) {
+	s.t.Helper()
+	for range 4 {
+		g.step(s.t.Context())
+		for i := 0; ; i++ {
+			g.mu.Lock()
+			n := len(g.busy)
+			g.mu.Unlock()
+			if n == 0 {
+				break
+			}
+			if i > 100_000 {
+				s.t.Fatal("direct commands never landed")
+			}
+			<-g.kick // every landing wakes the loop
+		}
+	}
+}
+
+func (s *site) resync(g *reign) {
+	s.t.Helper()
+	var since uint64
+	if err := g.resync(s.t.Context(), &since); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func TestJobRunsToDone(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
+	s.resync(g)
+	s.settle(g)
+	if got := w.Live(); !cmp.Equal(got, []string{"j-1/0", "j-1/1"}) {
+		t.Fatalf("on the machine: %v", got)
+	}
+	w.End("j-1/0", wire.CauseDone)
+	beat(t, g, w)
+	s.settle(g)
+	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status == wire.JobDone {
+		t.Fatal("done before all its tasks are")
+	}
+	w.End("j-1/1", wire.CauseDone)
+	beat(t, g, w)
+	// Done is told only when it is durable: until the pass records it, it is not.
+	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status == wire.JobDone {
+		t.Fatal("done before it was recorded")
+	}
+	s.settle(g)
+	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobDone || v.Done != 2 {
+		t.Fatalf("state %+v, want done", v)
+	}
+	beat(t, g, w) // forget
+	beat(t, g, w)
+	if rep := w.Report(); len(rep.Pieces) != 0 {
+		t.Errorf("not forgotten: %v", rep.Pieces)
+	}
+	if keys := s.state.Keys(store.PrefixRuns); len(keys) != 0 {
+		t.Errorf("records left: %v", keys)
+	}
+}
+
+func TestResultDurableBeforeForget(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
+	s.resync(g)
+	s.settle(g)
+	w.End("j-1/0", wire.CauseDone)
+	beat(t, g, w)
+	beat(t, g, w)
+	if rep := w.Report(); len(rep.Pieces) != 2 {
+		t.Fatalf("result forgotten before it was recorded: %v", rep.Pieces)
+	}
+}
+
+// A run sent directly may arrive minutes after it was given up. The task must
+// not be started elsewhere, nor its room given away, before that is ruled out.
+func TestLateDirectRunAfterCancelOfMachine(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	beat(t, g, w)
+	w.KeepNext()
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g) // the run is kept back; the warrant is raised against it
+	beat(t, g, other)
+	g.mu.Lock()
+	b := g.jobs["j-1"].pieces[0].booking
+	g.halt(g.jobs["j-1"], b, g.ck.Now())
+	still := g.jobs["j-1"].pieces[0].booking == b
+	g.mu.Unlock()
+	if !still {
+		t.Fatal("freed while a run may still arrive")
+	}
+	s.settle(g)
+	if len(other.Starts()) != 0 {
+		t.Fatal("started elsewhere while a run may still arrive")
+	}
+	// The worker reports without having seen the raised warrant: no proof yet.
+	rep := w.Report()
+	ans, _ := g.Beat(&rep)
+	s.settle(g)
+	if len(other.Starts()) != 0 {
+		t.Fatal("absence believed before the worker saw a higher warrant")
+	}
+	w.Take(ans)
+	s.advance(5 * time.Second)
+	s.settle(g)
+	beat(t, g, w)
+	beat(t, g, w)
+	beat(t, g, other)
+	s.settle(g)
+	w.Deliver()
+	if got := len(w.Starts()) + len(other.Starts()); got != 1 {
+		t.Fatalf("%d starts (%v, %v), want 1", got, w.Starts(), other.Starts())
+	}
+	if len(w.Live())+len(other.Live()) != 1 {
+		t.Fatalf("live on %v and %v", w.Live(), other.Live())
+	}
+}
+
+// A forget must not go out while a copy of the run may: the worker would start it again.
+func TestNoForgetWhileCopyIsOut(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	w.KeepNext()
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	rep := w.Report()
+	ans, _ := g.Beat(&rep) // carries the run again
+	low := ans
+	low.Warrant = 1
+	w.Take(low) // as if answered before the warrant was raised
+	w.End("j-1/0", wire.CauseDone)
+	rep = w.Report()
+	ans, _ = g.Beat(&rep)
+	s.settle(g)
+	for _, o := range ans.Orders {
+		if o.Verb == wire.VerbForget {
+			t.Fatal("forget sent while a run was still out")
+		}
+	}
+	w.Deliver()
+	if got := w.Starts(); len(got) != 1 {
+		t.Fatalf("started %v", got)
+	}
+	beat(t, g, w)
+	beat(t, g, w)
+	s.settle(g)
+	beat(t, g, w)
+	w.Deliver()
+	if got := w.Starts(); len(got) != 1 {
+		t.Fatalf("started %v", got)
+	}
+	if rep := w.Report(); len(rep.Pieces) != 0 {
+		t.Fatalf("never forgotten: %v", rep.Pieces)
+	}
+}
+
+// A new leader takes placements over and starts nothing twice, even for a
+// worker that it can't reach until the lease has run out.
+func TestLeaderChange(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", nil))
+	s.resync(ga)
+	s.settle(ga)
+	stop()
+	gb, _ := s.elect(b)
+	if gb.r.Warrant <= ga.r.Warrant {
+		t.Fatalf("warrant %d after %d", gb.r.Warrant, ga.r.Warrant)
+	}
+	// The old leader's pass writes nothing any more.
+	if rep := w.Report(); func() bool { _, ok := ga.Beat(&rep); return ok }() {
+		t.Error("the old leader still answers beats")
+	}
+	beat(t, gb, other)
+	s.settle(gb)
+	s.advance(17 * time.Second)
+	beat(t, gb, other)
+	s.settle(gb)
+	if len(other.Starts()) != 0 {
+		t.Fatal("moved before the predecessor's lease ran out")
+	}
+	w.Expire()
+	s.advance(6 * time.Second)
+	beat(t, gb, other)
+	s.settle(gb)
+	if got := other.Starts(); len(got) != 1 {
+		t.Fatalf("starts after the lease: %v", got)
+	}
+	beat(t, gb, w)
+	if len(w.Live()) != 0 {
+		t.Fatal("on two machines")
+	}
+}
+
+// Two leaders and a worker behind a cut: a late transaction of the old one fails.
+func TestOldLeadersLateTransaction(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", nil))
+	s.resync(ga)
+	ga.mu.Lock()
+	ga.plan(ga.ck.Now())
+	wr := ga.collect()
+	ga.mu.Unlock()
+	if wr == nil {
+		t.Fatal("nothing planned")
+	}
+	stop()
+	gb, _ := s.elect(b)
+	if _, err := a.st.Commit(t.Context(), store.Urgent, wr.txn); err == nil {
+		t.Fatal("a deposed leader's transaction was applied")
+	}
+	beat(t, gb, w)
+	s.settle(gb)
+	if got := w.Starts(); len(got) != 1 {
+		t.Fatalf("starts: %v", got)
+	}
+}
+
+// A transaction whose answer was lost is settled by its nonce, not done twice.
+func TestLostCommitAnswer(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.state.LoseAnswers(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		// The repeat waits on the clock, as does the elector.
+		for s.clk.BlockUntilContext(ctx, 2) == nil {
+			s.clk.Advance(100 * time.Millisecond)
+			if len(w.Starts()) > 0 {
+				return
+			}
+		}
+	}()
+	s.settle(g)
+	cancel()
+	if got := w.Starts(); len(got) != 1 {
+		t.Fatalf("starts: %v", got)
+	}
+}
+
+// A cancel accepted elsewhere, unseen by the leader, still keeps it from placing.
+func TestCancelWinsOverPlacement(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	g, _ := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(b, spec("j-1", nil))
+	s.resync(g)
+	if code, v, _ := s.ask(b, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 || v.Status != wire.JobCancelled {
+		t.Fatalf("abort: %d %+v", code, v)
+	}
+	s.settle(g)
+	beat(t, g, w)
+	s.settle(g)
+	if got := w.Starts(); len(got) != 0 {
+		t.Fatalf("started after the cancel: %v", got)
+	}
+	if _, v, _ := s.ask(a, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobCancelled {
+		t.Fatalf("state %+v", v)
+	}
+}
+
+func TestCancelStopsRunningTasks(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 {
+		t.Fatalf("abort: %d", code)
+	}
+	s.resync(g)
+	s.settle(g)
+	if got := w.Live(); len(got) != 0 {
+		t.Fatalf("still on the machine: %v", got)
+	}
+	if keys := s.state.Keys(store.PrefixRuns); len(keys) != 0 {
+		t.Errorf("records left: %v", keys)
+	}
+}
+
+// The team's limit counts what a predecessor started and may still exist.
+func TestTeamLimitAcrossLeaders(t *testing.T) {
+	limit := func(f *config.Facts) { f.Teams[0].CPUsMax = 4 }
+	s := newSite(t)
+	a, b := s.node(limit), s.node(limit)
+	ga, stop := s.elect(a)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 4 }))
+	s.resync(ga)
+	s.settle(ga)
+	if got := w.Live(); len(got) != 2 {
+		t.Fatalf("limit of 4 CPUs, tasks of 2: %v", got)
+	}
+	stop()
+	gb, _ := s.elect(b)
+	beat(t, gb, other)
+	s.settle(gb)
+	if got := other.Starts(); len(got) != 0 {
+		t.Fatalf("beyond the limit after a change of leaders: %v", got)
+	}
+}
+
+// The zone cap counts tasks whose machine has not been heard of.
+func TestZoneCapWithUnknownMachine(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", false)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) {
+		sp.Shape, sp.Rank, sp.Loaned, sp.Apart, sp.Pieces = wire.ShapeStanding, "critical", false, true, 2
+	}))
+	s.resync(ga)
+	s.settle(ga)
+	if got := w.Live(); len(got) != 1 {
+		t.Fatalf("at most one of two in a zone: %v", got)
+	}
+	stop()
+	gb, _ := s.elect(b)
+	other := s.worker("n-2", "x", false)
+	beat(t, gb, other)
+	s.settle(gb)
+	if got := other.Starts(); len(got) != 0 {
+		t.Fatalf("second replica in the zone: %v", got)
+	}
+}
+
+func TestSickMachineIsBanned(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	sick, good := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	sick.Fail(true)
+	beat(t, g, sick)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 3 }))
+	s.resync(g)
+	s.settle(g)
+	if m := g.fl.Machine("n-1"); m.Banned != "sick" {
+		t.Fatalf("banned %q after %v", m.Banned, sick.Starts())
+	}
+	beat(t, g, good)
+	s.advance(2 * time.Second)
+	s.settle(g)
+	if got := good.Live(); len(got) != 3 {
+		t.Fatalf("on the good machine: %v", got)
+	}
+}
+
+func TestBeatWithoutHold(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.state.Refuse(n.cfg.Node, true)
+	s.clk.Advance(6 * time.Second)
+	rep := w.Report()
+	if _, ok := g.Beat(&rep); ok {
+		t.Fatal("answered a beat after the hold may have lapsed")
+	}
+}
+
+func TestAnswersToUsers(t *testing.T) {
+	s := newSite(t)
+	n := s.node(func(f *config.Facts) { f.Teams = append(f.Teams, config.Team{Name: "small", CPUsMax: 3}) })
+	good := spec("j-1", nil)
+	s.submit(n, good)
+	edit := func(mod func(m map[string]any)) []byte {
+		return bodyOf(t, good, func(m map[string]any) { m["uid"] = "j-2"; mod(m) })
+	}
+	tests := []struct {
+		name string
+		body []byte
+		want int
+	}{
+		{"known, repeated", edit(func(m map[string]any) { m["uid"] = "j-1" }), 200},
+		{"known, repeat malformed", edit(func(m map[string]any) { m["uid"] = "j-1"; m["pieces"] = -4 }), 200},
+		{"known, repeat never runs", edit(func(m map[string]any) { m["uid"] = "j-1"; m["owner"] = "nobody" }), 200},
+		{"not MessagePack", []byte{0xc1, 0xff}, 400},
+		{"not a map", []byte{0x93, 1, 2, 3}, 400},
+		{"empty", nil, 400},
+		{"missing field", edit(func(m map[string]any) { delete(m, "rank") }), 400},
+		{"wrong type", edit(func(m map[string]any) { m["cores"] = "four" }), 400},
+		{"negative", edit(func(m map[string]any) { m["ram_gb"] = -1.0 }), 400},
+		{"no pieces", edit(func(m map[string]any) { m["pieces"] = 0 }), 400},
+		{"half a piece", edit(func(m map[string]any) { m["pieces"] = 1.5 }), 400},
+		{"unknown rank", edit(func(m map[string]any) { m["rank"] = "urgent" }), 400},
+		{"too large", bytes.Repeat([]byte{0xc0}, wire.MaxBody+1), 400},
+		{"unknown team", edit(func(m map[string]any) { m["owner"] = "nobody" }), 422},
+		{"fits no type", edit(func(m map[string]any) { m["cores"] = 9.0 }), 422},
+		{"type not in the catalogue", edit(func(m map[string]any) { m["builds"] = []string{"zz"} }), 422},
+		{"over the limit", edit(func(m map[string]any) {
+			m["owner"], m["shape"], m["pieces"] = "small", wire.ShapeStanding, 2
+		}), 422},
+		{"array over the limit only in sum", edit(func(m map[string]any) { m["uid"], m["owner"], m["pieces"] = "j-3", "small", 9 }), 201},
+		{"unknown field", edit(func(m map[string]any) { m["uid"], m["new"] = "j-4", []int{1} }), 201},
+	}
+	for _, tt := range tests {
+		if got, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, tt.body); got != tt.want {
+			t.Errorf("%s: status %d, want %d", tt.name, got, tt.want)
+		}
+	}
+	for path, want := range map[string]int{"/j-1": 200, "/j-999": 404, "/nonsense": 404} {
+		if got, _, _ := s.ask(n, http.MethodGet, wire.PathRuns+path, nil); got != want {
+			t.Errorf("GET %s: status %d, want %d", path, got, want)
+		}
+	}
+	if got, _, _ := s.ask(n, http.MethodDelete, wire.PathRuns+"/j-1", nil); got != 405 {
+		t.Errorf("wrong method: status %d", got)
+	}
+	// A store that can't be read is 503 with a time to come back, never 404.
+	s.state.Refuse("", true)
+	for _, q := range []struct{ method, path string }{{"GET", "/j-999"}, {"GET", "/j-1"}, {"POST", "/j-1/abort"}} {
+		got, _, h := s.ask(n, q.method, wire.PathRuns+q.path, nil)
+		if got != 503 || h.Get("Retry-After") == "" {
+			t.Errorf("%s %s in an outage: status %d, Retry-After %q", q.method, q.path, got, h.Get("Retry-After"))
+		}
+	}
+	if got, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, edit(func(m map[string]any) { m["uid"] = "j-9" })); got != 503 {
+		t.Errorf("submit in an outage: status %d", got)
+	}
+}
+
+// A rental whose answer was lost is repeated under its own name and rents nothing more.
+func TestLostRentalAnswer(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.cloud.LoseNext = true
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	if err := g.readList(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for s.clk.BlockUntilContext(ctx, 2) == nil {
+			s.clk.Advance(time.Second)
+		}
+	}()
+	g.resize(t.Context())
+	cancel()
+	asked := s.cloud.Asked()
+	if len(asked) != 2 || asked[0].Hire != asked[1].Hire || len(s.cloud.Hosts()) != 1 {
+		t.Fatalf("asked %v, rented %v", asked, s.cloud.Hosts())
+	}
+}
+
+func TestWatchTooOldReadsAgain(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.submit(n, spec("j-1", nil))
+	s.state.Forget()
+	if _, err := n.st.Changes(t.Context(), store.PrefixJob, 1, 0); err != store.ErrTooOld {
+		t.Fatalf("error %v, want %v", err, store.ErrTooOld)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); g.watchJobs(ctx, 1) }()
+	<-g.kick
+	cancel()
+	<-done
+	if g.jobs["j-1"] == nil {
+		t.Fatal("job missed")
+	}
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"cedardoor/wire"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Cloud rents machines that never boot; tests bring workers of their own.
+type Cloud struct {
+	mu       sync.Mutex // guards all below
+	Builds   []wire.Build
+	hires    map[string][]string
+	hosts    []wire.Host
+	Trouble  bool // answers 503 to everything
+	Full     bool // has no capacity
+	LoseNext bool // executes the next rental without an answer
+	asked    []wire.RentRequest
+}
+
+// NewCloud makes a cloud with one machine type in the given zones.
+func NewCloud(builds ...wire.Build) *Cloud {
+	return &Cloud{Builds: builds, hires: map[string][]string{}}
+}
+
+// Hosts lists the machines now rented.
+func (c *Cloud) Hosts() []wire.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]wire.Host(nil), c.hosts...)
+}
+
+// Asked lists every rental request.
+func (c *Cloud) Asked() []wire.RentRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]wire.RentRequest(nil), c.asked...)
+}
+
+// ServeHTTP is the cloud's interface.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Trouble {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+		return
+	}
+	switch {
+	case r.URL.Path == wire.PathCatalog:
+		reply(w, http.StatusOK, wire.Catalog{Builds: c.Builds})
+	case r.URL.Path == wire.PathReturn:
+		var q wire.Hosts
+		_ = msgpack.Unmarshal(body, &q)
+		gone := map[string]bool{}
+		for _, h := range q.Hosts {
+			gone[h] = true
+		}
+		var left []wire.Host
+		for _, h := range c.hosts {
+			if !gone[h.UID] {
+				left = append(left, h)
+			}
+		}
+		c.hosts = left
+		reply(w, http.StatusOK, struct{}{})
+	case r.Method == http.MethodGet:
+		reply(w, http.StatusOK, wire.HostPage{Hosts: append([]wire.Host{}, c.hosts...)})
+	default:
+		var q wire.RentRequest
+		_ = msgpack.Unmarshal(body, &q)
+		c.asked = append(c.asked, q)
+		names, known := c.hires[q.Hire]
+		if !known {
+			if c.Full {
+				reply(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
+				return
+			}
+			for range q.Count {
+				name := fmt.Sprintf("n-%06d", len(c.hosts)+100)
+				c.hosts = append(c.hosts, wire.Host{UID: name, Endpoint: "127.0.0.1:1", Build: q.Build, Yard: q.Yard, Loaned: q.Loaned, Status: wire.HostBooting})
+				names = append(names, name)
+			}
+			c.hires[q.Hire] = names
+		}
+		if c.LoseNext {
+			c.LoseNext = false
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, http.StatusOK, wire.Hosts{Hosts: names})
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,321 @@
+// Package standin plays the platform for tests: a state service, a cloud and
+// workers, with answers that are lost and commands that arrive late.
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cedardoor/wire"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// State is a state service.
+type State struct {
+	clk clockwork.Clock
+
+	mu     sync.Mutex // guards all below
+	epoch  uint64
+	rows   map[string]wire.Row
+	holds  map[uint64]*hold
+	log    []entry
+	oldest uint64
+	change chan struct{}
+	refuse map[string]bool
+	lose   int
+	late   []wire.Txn
+	delay  bool
+	puts   int
+}
+
+type hold struct {
+	ttl time.Duration
+	end time.Time
+}
+
+type entry struct {
+	epoch uint64
+	ev    wire.Event
+}
+
+// NewState makes an empty state service whose holds run on the given clock.
+func NewState(clk clockwork.Clock) *State {
+	return &State{clk: clk, rows: map[string]wire.Row{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}, change: make(chan struct{})}
+}
+
+// Refuse makes the service answer 503 to a node, or to all for "".
+func (s *State) Refuse(node string, yes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse[node] = yes
+	if !yes && node == "" {
+		// After an outage every lease has its full time again.
+		for _, h := range s.holds {
+			h.end = s.clk.Now().Add(h.ttl)
+		}
+	}
+}
+
+// LoseAnswers makes the service execute the next n transactions without answering.
+func (s *State) LoseAnswers(n int) { s.mu.Lock(); defer s.mu.Unlock(); s.lose = n }
+
+// DelayNext keeps the next transaction back, unanswered, until Deliver.
+func (s *State) DelayNext() { s.mu.Lock(); defer s.mu.Unlock(); s.delay = true }
+
+// Deliver executes the transactions kept back.
+func (s *State) Deliver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.late {
+		s.commit(t)
+	}
+	s.late = nil
+}
+
+// Forget drops the change history, so that older watches get 410.
+func (s *State) Forget() { s.mu.Lock(); defer s.mu.Unlock(); s.log, s.oldest = nil, s.epoch }
+
+// Puts counts the changes executed so far.
+func (s *State) Puts() int { s.mu.Lock(); defer s.mu.Unlock(); return s.puts }
+
+// Value decodes a key's value; false when it does not exist.
+func (s *State) Value(key string, v any) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	row, ok := s.rows[key]
+	return ok && (v == nil || msgpack.Unmarshal(row.Value, v) == nil)
+}
+
+// Keys lists the keys with a prefix.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	var out []string
+	for k := range s.rows {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// lapse removes the keys of holds that have ended. The caller holds mu.
+func (s *State) lapse() {
+	now := s.clk.Now()
+	for id, h := range s.holds {
+		if s.refuse[""] || now.Before(h.end) {
+			continue
+		}
+		s.end(id)
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.holds, id)
+	var keys []string
+	for k, r := range s.rows {
+		if r.Hold == id {
+			keys = append(keys, k)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	s.epoch++
+	for _, k := range keys {
+		delete(s.rows, k)
+		s.note(wire.Event{Delete: k, Stamp: s.epoch})
+	}
+}
+
+func (s *State) note(ev wire.Event) {
+	s.log = append(s.log, entry{s.epoch, ev})
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// commit executes a transaction. The caller holds mu.
+func (s *State) commit(t wire.Txn) (status int, body any) {
+	s.lapse()
+	var failed []string
+	for _, w := range t.When {
+		if s.rows[w.Path].Stamp != w.Stamp {
+			failed = append(failed, w.Path)
+		}
+	}
+	for _, a := range t.Apply {
+		if a.Set != "" && a.Hold != 0 && s.holds[a.Hold] == nil {
+			return http.StatusBadRequest, wire.Error{Error: "no such lease"}
+		}
+	}
+	if len(failed) > 0 {
+		return http.StatusConflict, wire.TxnAnswer{Epoch: s.epoch, Failed: failed}
+	}
+	if len(t.Apply) == 0 {
+		return http.StatusOK, wire.TxnAnswer{Epoch: s.epoch}
+	}
+	s.epoch++
+	for _, a := range t.Apply {
+		s.puts++
+		if a.Set == "" {
+			if _, ok := s.rows[a.Delete]; ok {
+				delete(s.rows, a.Delete)
+				s.note(wire.Event{Delete: a.Delete, Stamp: s.epoch})
+			}
+			continue
+		}
+		raw, err := msgpack.Marshal(a.Value)
+		if err != nil {
+			return http.StatusBadRequest, wire.Error{Error: err.Error()}
+		}
+		s.rows[a.Set] = wire.Row{Path: a.Set, Value: raw, Stamp: s.epoch, Hold: a.Hold}
+		s.note(wire.Event{Set: a.Set, Value: raw, Stamp: s.epoch})
+	}
+	return http.StatusOK, wire.TxnAnswer{Epoch: s.epoch}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	raw, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
+
+// Handler is the service as one node reaches it.
+func (s *State) Handler(node string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if (s.refuse[""] || s.refuse[node]) && r.URL.Path != wire.PathChanges {
+			reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+			return
+		}
+		s.lapse()
+		switch {
+		case r.URL.Path == wire.PathCommit:
+			var t wire.Txn
+			if msgpack.Unmarshal(body, &t) != nil {
+				reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+				return
+			}
+			if s.delay {
+				s.delay = false
+				s.late = append(s.late, t)
+				panic(http.ErrAbortHandler)
+			}
+			status, ans := s.commit(t)
+			if s.lose > 0 {
+				s.lose--
+				panic(http.ErrAbortHandler)
+			}
+			reply(w, status, ans)
+		case r.URL.Path == wire.PathHolds:
+			var q wire.HoldRequest
+			_ = msgpack.Unmarshal(body, &q)
+			s.epoch++
+			ttl := time.Duration(q.TTLms) * time.Millisecond
+			s.holds[s.epoch] = &hold{ttl: ttl, end: s.clk.Now().Add(ttl)}
+			reply(w, http.StatusOK, wire.HoldAnswer{Hold: s.epoch})
+		case strings.HasPrefix(r.URL.Path, wire.PathHolds+"/"):
+			parts := strings.Split(r.URL.Path, "/")
+			id, _ := strconv.ParseUint(parts[2], 10, 64)
+			h := s.holds[id]
+			if h == nil {
+				reply(w, http.StatusNotFound, wire.Error{Error: "no such lease"})
+				return
+			}
+			if r.Method == http.MethodDelete {
+				s.end(id)
+			} else {
+				h.end = s.clk.Now().Add(h.ttl)
+			}
+			reply(w, http.StatusOK, struct{}{})
+		case r.URL.Path == wire.PathChanges:
+			s.changes(w, r)
+		case r.URL.Path == wire.PathKV:
+			q := r.URL.Query()
+			limit, _ := strconv.Atoi(q.Get("limit"))
+			keys := make([]string, 0, len(s.rows))
+			for k := range s.rows {
+				if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("since") {
+					keys = append(keys, k)
+				}
+			}
+			slices.Sort(keys)
+			out := wire.Rows{Rows: []wire.Row{}, Epoch: s.epoch}
+			for i, k := range keys {
+				if i == limit {
+					out.HasNext = true
+					break
+				}
+				out.Rows = append(out.Rows, s.rows[k])
+			}
+			reply(w, http.StatusOK, out)
+		default:
+			row, ok := s.rows[strings.TrimPrefix(r.URL.Path, wire.PathKV+"/")]
+			if !ok {
+				reply(w, http.StatusNotFound, map[string]uint64{"epoch": s.epoch})
+				return
+			}
+			reply(w, http.StatusOK, row)
+		}
+	})
+}
+
+// changes waits, on the request's own context, for a change after since.
+func (s *State) changes(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("block_ms"))
+	timeout := s.clk.After(time.Duration(block) * time.Millisecond)
+	for {
+		s.lapse()
+		if since < s.oldest {
+			reply(w, http.StatusGone, wire.Error{Error: "too old"})
+			return
+		}
+		out := wire.Changes{Epoch: s.epoch, Events: []wire.Event{}}
+		for _, e := range s.log {
+			if key := e.ev.Set + e.ev.Delete; e.epoch > since && strings.HasPrefix(key, q.Get("starts")) {
+				out.Events = append(out.Events, e.ev)
+			}
+		}
+		if len(out.Events) > 0 {
+			reply(w, http.StatusOK, out)
+			return
+		}
+		ch := s.change
+		s.mu.Unlock()
+		done := false
+		select {
+		case <-ch:
+		case <-timeout:
+			done = true
+		case <-r.Context().Done():
+			done = true
+		}
+		s.mu.Lock()
+		if done {
+			reply(w, http.StatusOK, out)
+			return
+		}
+	}
+}
+
+// String describes the service's keys, for failures.
+func (s *State) String() string { return fmt.Sprint(s.Keys("")) }
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+
+	"cedardoor/wire"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Worker is a machine's worker that keeps the protocol's rules for warrants,
+// sessions and repeated commands. Tests end its tasks by hand.
+type Worker struct {
+	Beats wire.Beat // identity: host, endpoint, build, yard, loaned
+
+	mu      sync.Mutex // guards all below
+	tenure  uint64
+	tally   uint64
+	warrant uint64
+	pieces  map[string]*wire.PieceReport
+	lose    bool
+	keep    bool
+	late    []wire.Do
+	starts  []string
+	warning *float64
+	fail    bool
+}
+
+// NewWorker makes a worker without tasks in its first session.
+func NewWorker(host, endpoint, build, yard string, loaned bool) *Worker {
+	return &Worker{Beats: wire.Beat{Host: host, Endpoint: endpoint, Build: build, Yard: yard, Loaned: loaned},
+		tenure: 1, pieces: map[string]*wire.PieceReport{}}
+}
+
+func key(piece string, try uint64) string { return piece + "#" + string(rune('0'+try)) }
+
+// report builds the current report. The caller holds mu.
+func (w *Worker) report() wire.Beat {
+	w.tally++
+	b := w.Beats
+	b.Tenure, b.Tally, b.Warrant, b.WarningS = w.tenure, w.tally, w.warrant, w.warning
+	b.Pieces = []wire.PieceReport{}
+	keys := make([]string, 0, len(w.pieces))
+	for k := range w.pieces {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		b.Pieces = append(b.Pieces, *w.pieces[k])
+	}
+	return b
+}
+
+// Report is the worker's next beat.
+func (w *Worker) Report() wire.Beat { w.mu.Lock(); defer w.mu.Unlock(); return w.report() }
+
+// Take executes the answer to a beat, unless its warrant is too low.
+func (w *Worker) Take(a wire.BeatAnswer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.Warrant < w.warrant {
+		return false
+	}
+	w.warrant = a.Warrant
+	w.execute(a.Orders)
+	return true
+}
+
+// execute runs commands in order. The caller holds mu.
+func (w *Worker) execute(orders []wire.Order) {
+	for _, o := range orders {
+		k := key(o.Piece, o.Try)
+		p := w.pieces[k]
+		switch {
+		case o.Verb == wire.VerbRun && p == nil:
+			w.starts = append(w.starts, k)
+			st := &wire.PieceReport{Piece: o.Piece, Try: o.Try, Status: wire.PieceRunning}
+			if w.fail {
+				st.Status, st.Cause = wire.PieceEnded, wire.CauseError
+			}
+			w.pieces[k] = st
+		case o.Verb == wire.VerbHalt && p != nil && p.Status != wire.PieceEnded:
+			p.Status, p.Cause = wire.PieceEnded, wire.CauseStopped
+		case o.Verb == wire.VerbForget && p != nil && p.Status == wire.PieceEnded:
+			delete(w.pieces, k)
+		}
+	}
+}
+
+// End ends a task with a cause.
+func (w *Worker) End(piece string, cause string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.pieces {
+		if p.Piece == piece && p.Status != wire.PieceEnded {
+			p.Status, p.Cause = wire.PieceEnded, cause
+		}
+	}
+}
+
+// Expire lets the worker's lease run out: its tasks are killed and forgotten.
+func (w *Worker) Expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tenure++
+	w.pieces = map[string]*wire.PieceReport{}
+}
+
+// LoseNext makes the next /do be executed without an answer.
+func (w *Worker) LoseNext() { w.mu.Lock(); defer w.mu.Unlock(); w.lose = true }
+
+// KeepNext holds the next /do back, unanswered, until Deliver.
+func (w *Worker) KeepNext() { w.mu.Lock(); defer w.mu.Unlock(); w.keep = true }
+
+// Fail makes every task fail as it starts.
+func (w *Worker) Fail(yes bool) { w.mu.Lock(); defer w.mu.Unlock(); w.fail = yes }
+
+// Warn sets the spot notice.
+func (w *Worker) Warn(seconds float64) { w.mu.Lock(); defer w.mu.Unlock(); w.warning = &seconds }
+
+// Deliver executes the direct commands held back, if warrant and session still match.
+func (w *Worker) Deliver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range w.late {
+		w.direct(d)
+	}
+	w.late = nil
+}
+
+// Starts lists every attempt started, in order.
+func (w *Worker) Starts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.starts...)
+}
+
+// Live lists the tasks that are on the machine.
+func (w *Worker) Live() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, p := range w.pieces {
+		if p.Status != wire.PieceEnded {
+			out = append(out, p.Piece)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (w *Worker) direct(d wire.Do) bool {
+	if d.Warrant < w.warrant || d.Tenure != w.tenure {
+		return false
+	}
+	w.warrant = d.Warrant
+	w.execute(d.Orders)
+	return true
+}
+
+// ServeHTTP is the worker's /do.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var d wire.Do
+	if err := msgpack.Unmarshal(body, &d); err != nil {
+		reply(rw, http.StatusBadRequest, wire.Error{Error: err.Error()})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.keep {
+		w.keep = false
+		w.late = append(w.late, d)
+		panic(http.ErrAbortHandler)
+	}
+	ok := w.direct(d)
+	if w.lose {
+		w.lose = false
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if !ok {
+		status = http.StatusConflict
+	}
+	reply(rw, status, w.report())
+}
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -117,9 +117,11 @@
 		<-done
 		e.log.Info("no longer leading", "warrant", reign.Warrant)
 		// Ended politely where possible: the others need not wait for the hold to lapse.
-		if err := e.st.Drop(ctx, hold); err != nil {
+		dctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clock.Second.Duration())
+		if err := e.st.Drop(dctx, hold); err != nil {
 			e.log.Debug("drop hold", "error", err)
 		}
+		cancel()
 	}
 }
 
--- a/service.go
+++ b/service.go
@@ -49,7 +49,11 @@
 
 // New wires a controller's parts; Run starts it.
 func New(cfg *config.Platform, op *config.Operator, log *slog.Logger) *Service {
-	s := &Service{cfg: cfg, op: op, log: log, ck: clock.New(nil), met: NewMetrics(), links: map[string]*peer.Link{}}
+	return newService(cfg, op, log, clock.New(nil))
+}
+
+func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
+	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}}
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, len(cfg.Others)+1)
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
--- a/step.go
+++ b/step.go
@@ -668,7 +668,7 @@
 	now := g.ck.Now()
 	g.mu.Lock()
 	warrant, may := g.el.MayOrder()
-	due := may && now-g.raisedAt > 4*clock.Second && g.fl.Doubts(now, warrant) > 0
+	due := may && (g.raisedAt == 0 || now-g.raisedAt > 4*clock.Second) && g.fl.Doubts(now, warrant) > 0
 	if due {
 		g.raisedAt = now
 	}
