--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func platform() map[string]any {
+	return map[string]any{"node": "a", "area": "x", "client_listen": "127.0.0.1:1", "back": "127.0.0.1:2", "new": true,
+		"others":  []any{map[string]any{"node": "b", "addr": "127.0.0.1:3"}},
+		"outside": map[string]any{"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+		"facts": map[string]any{"zones": []string{"x"}, "teams": []any{map[string]any{"name": "t"}},
+			"workers":        map[string]any{"report_s": 3, "lease_s": 18, "cancel_s": 40},
+			"state":          map[string]any{"rps": 80, "write_rps": 30, "value_kb": 8, "txn_ops": 24},
+			"cloud":          map[string]any{"rps": 4, "list_lag_s": 8},
+			"machine_limits": map[string]any{"core_share": 0.2, "mem_mb": 100, "fd_limit": 500}}}
+}
+
+func write(t *testing.T, v any) string {
+	t.Helper()
+	raw, ok := v.([]byte)
+	if !ok {
+		var err error
+		if raw, err = json.Marshal(v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadPlatform(t *testing.T) {
+	if _, err := LoadPlatform(write(t, platform())); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		field string
+		mod   func(p map[string]any)
+	}{
+		{"node", func(p map[string]any) { delete(p, "node") }},
+		{"client_listen", func(p map[string]any) { p["client_listen"] = "nowhere" }},
+		{"outside.state", func(p map[string]any) { p["outside"] = map[string]any{"cloud": "h:1"} }},
+		{"others[0].addr", func(p map[string]any) { p["others"] = []any{map[string]any{"node": "b"}} }},
+		{"others[0].node", func(p map[string]any) { p["others"] = []any{map[string]any{"node": "a", "addr": "h:1"}} }},
+		{"facts.workers.lease_s", func(p map[string]any) { p["facts"].(map[string]any)["workers"] = map[string]any{"report_s": 1} }},
+		{"facts.state.rps", func(p map[string]any) { p["facts"].(map[string]any)["state"] = map[string]any{"rps": -1} }},
+		{"facts.teams", func(p map[string]any) { p["facts"].(map[string]any)["teams"] = []any{} }},
+	}
+	for _, tt := range tests {
+		p := platform()
+		tt.mod(p)
+		if _, err := LoadPlatform(write(t, p)); err == nil || !strings.Contains(err.Error(), tt.field) {
+			t.Errorf("%s: error %v", tt.field, err)
+		}
+	}
+	if _, err := LoadPlatform(write(t, []byte("{not json"))); err == nil {
+		t.Error("not JSON: no error")
+	}
+	if _, err := LoadPlatform(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("no file: no error")
+	}
+}
+
+func TestLoadOperator(t *testing.T) {
+	o, err := LoadOperator(write(t, []byte(`{"repair":{"period_s":5}}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Repair.PeriodS != 5 || o.Repair.Restarts != 20 {
+		t.Errorf("repair %+v: want the file's period over the default restarts", o.Repair)
+	}
+	for text, want := range map[string]string{
+		`{"repair":{"periods":5}}`:                 "/repair",
+		`{"repair":{"period_s":"x"}}`:              "/repair/period_s",
+		`{"fleet":{"idle_s":-1}}`:                  "/fleet/idle_s",
+		`{"lead":{"ttl_s":2,"renew_s":2}}`:         "/lead/renew_s",
+		`[]`:                                       "object",
+		`{"repair":`:                               "EOF",
+		`{"speed":1}`:                              "speed",
+		`{"metrics":{"listen":7},"plan":{"a":{}}}`: "/metrics/listen",
+	} {
+		if _, err := LoadOperator(write(t, []byte(text))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want one naming %s", text, err, want)
+		}
+	}
+}
+
+func TestDefaultsMatchSchema(t *testing.T) {
+	if err := validate(defaultsText); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/lead/lead_test.go
@@ -0,0 +1,124 @@
+package lead
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/internal/standin"
+	"cedardoor/store"
+
+	"github.com/jonboulle/clockwork"
+)
+
+type bench struct {
+	clk   *clockwork.FakeClock
+	state *standin.State
+	el    *Elector
+	all   atomic.Bool
+	asked atomic.Int32
+	reign chan Reign
+	ended chan struct{}
+}
+
+func start(t *testing.T) *bench {
+	clk := clockwork.NewFakeClock()
+	b := &bench{clk: clk, state: standin.NewState(clk), reign: make(chan Reign, 4), ended: make(chan struct{}, 4)}
+	srv := httptest.NewServer(b.state.Handler("a"))
+	t.Cleanup(srv.Close)
+	st := store.New(strings.TrimPrefix(srv.URL, "http://"), config.State{RPS: 1000, WriteRPS: 1000, TxnOps: 24, ValueKB: 8}, 3)
+	op, err := config.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.el = New("a", st, clock.New(clk), op, func(context.Context) bool { b.asked.Add(1); return b.all.Load() }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.el.Run(ctx, func(ctx context.Context, r Reign) {
+			b.reign <- r
+			<-ctx.Done()
+			b.ended <- struct{}{}
+		})
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	<-b.reign
+	return b
+}
+
+// step moves the clock while the elector waits on it.
+func (b *bench) step(t *testing.T, d time.Duration) {
+	t.Helper()
+	for ; d > 0; d -= 100 * time.Millisecond {
+		if err := b.clk.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		b.clk.Advance(100 * time.Millisecond)
+	}
+	if err := b.clk.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRefusedAloneStepsAside(t *testing.T) {
+	b := start(t)
+	b.step(t, 10*time.Second)
+	if _, ok := b.el.MayOrder(); !ok {
+		t.Fatal("lost a hold that was renewed")
+	}
+	b.state.Refuse("a", true)
+	b.step(t, 6*time.Second)
+	if _, ok := b.el.MayAnswer(); ok {
+		t.Error("answers beats after its hold may have lapsed, though others are served")
+	}
+	if b.asked.Load() == 0 {
+		t.Error("the others were never asked")
+	}
+}
+
+func TestOutageAttestedByAll(t *testing.T) {
+	b := start(t)
+	b.all.Store(true)
+	b.state.Refuse("", true)
+	b.step(t, 30*time.Second)
+	if _, ok := b.el.MayAnswer(); !ok {
+		t.Error("does not answer beats though all are refused")
+	}
+	if _, ok := b.el.MayOrder(); ok {
+		t.Error("orders something new without a hold")
+	}
+	// One of the others is served again: nobody knows what it may do.
+	b.all.Store(false)
+	b.step(t, 2*time.Second)
+	if _, ok := b.el.MayAnswer(); ok {
+		t.Error("answers beats after another was no longer refused")
+	}
+	b.state.Refuse("", false)
+	b.step(t, time.Second)
+	if _, ok := b.el.MayOrder(); !ok {
+		t.Error("does not order after the outage, though its hold had its full time again")
+	}
+}
+
+func TestRaise(t *testing.T) {
+	b := start(t)
+	before, _ := b.el.MayOrder()
+	// The answer is lost, but the write was done: it is recognised, not repeated.
+	b.state.LoseAnswers(1)
+	got, err := b.el.Raise(t.Context())
+	if err != nil || got != before+1 {
+		t.Fatalf("raised to %d, %v; want %d", got, err, before+1)
+	}
+	var rec store.WarrantRecord
+	if !b.state.Value(store.KeyWarrant, &rec) || rec.Warrant != got {
+		t.Errorf("recorded %d, want %d", rec.Warrant, got)
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+)
+
+func TestAskAndStrangers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(done)
+		Serve(ctx, ln, func(_ context.Context, a Ask) Reply {
+			return Reply{Known: a.Count == "j-1", Refused: a.Attest, Done: 4}
+		},
+			slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}()
+	defer func() { cancel(); <-done }()
+	l := NewLink(ln.Addr().String())
+	ask := func() {
+		t.Helper()
+		r, err := l.Ask(t.Context(), Ask{Attest: true, Count: "j-1"})
+		if err != nil || !r.Known || !r.Refused || r.Done != 4 {
+			t.Fatalf("reply %+v, %v", r, err)
+		}
+	}
+	ask()
+	stranger, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stranger.Write(bytes.Repeat([]byte("GET / HTTP/1.1\r\n\r\n"), 8)); err != nil {
+		t.Fatal(err)
+	}
+	// The stranger's connection ends; the link's goes on.
+	if n, err := stranger.Read(make([]byte, 1)); err == nil {
+		t.Errorf("stranger got %d bytes", n)
+	}
+	ask()
+	// A link whose connection has gone stale makes a new one.
+	l.conn.Close()
+	ask()
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,283 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cedardoor/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func machine(name, zone string, cores, ram float64) *Machine {
+	return &Machine{Name: name, Build: "b", Yard: zone, Cores: cores, RAM: ram, Usable: true, Images: map[string]bool{}}
+}
+
+func newJob(uid string, pieces int, cores, ram float64) *Job {
+	return &Job{UID: uid, Team: "t", Rank: wire.RankStandard, Pieces: pieces, Cores: cores, RAM: ram, Loaned: true,
+		Zones: map[string]int{}, Machines: map[string]int{}}
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func TestLaunchWorstFit(t *testing.T) {
+	p := &Picture{Machines: []*Machine{machine("a", "x", 8, 10), machine("b", "x", 8, 30), machine("c", "x", 9, 30)},
+		Waiting: []Waiting{{Job: newJob("j-1", 1, 1, 2), Indexes: indexes(1)}}}
+	// Most free memory, the tie broken by free CPU.
+	want := []Placement{{TaskID{"j-1", 0}, "c"}}
+	if diff := cmp.Diff(want, Make(p).Launch); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLaunchPrefersImage(t *testing.T) {
+	a, b := machine("a", "x", 8, 10), machine("b", "x", 8, 30)
+	a.Images["img"] = true
+	j := newJob("j-1", 1, 1, 2)
+	j.Bundle = "img"
+	got := Make(&Picture{Machines: []*Machine{a, b}, Waiting: []Waiting{{Job: j, Indexes: indexes(1)}}}).Launch
+	if len(got) != 1 || got[0].Machine != "a" {
+		t.Errorf("launched %v, want on a", got)
+	}
+}
+
+func TestLaunchOrder(t *testing.T) {
+	low, high, due := newJob("j-1", 1, 8, 1), newJob("j-2", 1, 8, 1), newJob("j-3", 1, 8, 1)
+	low.Slack, high.Slack, due.Slack = 100, 100, 5
+	high.Rank, due.Rank = wire.RankHigh, wire.RankHigh
+	p := &Picture{Machines: []*Machine{machine("a", "x", 16, 30)}}
+	for _, j := range []*Job{low, high, due} {
+		p.Waiting = append(p.Waiting, Waiting{Job: j, Indexes: indexes(1)})
+	}
+	res := Make(p)
+	want := []Placement{{TaskID{"j-3", 0}, "a"}, {TaskID{"j-2", 0}, "a"}}
+	if diff := cmp.Diff(want, res.Launch); diff != "" {
+		t.Error(diff)
+	}
+	if res.Unplaced["j-1"] != 1 {
+		t.Errorf("unplaced %v", res.Unplaced)
+	}
+}
+
+func TestRules(t *testing.T) {
+	tests := []struct {
+		name string
+		mod  func(j *Job, m *Machine, p *Picture)
+		want bool
+	}{
+		{"plain", func(*Job, *Machine, *Picture) {}, true},
+		{"banned", func(_ *Job, m *Machine, _ *Picture) { m.Banned = "sick" }, false},
+		{"cordoned", func(_ *Job, m *Machine, _ *Picture) { m.Cordoned = true }, false},
+		{"silent", func(_ *Job, m *Machine, _ *Picture) { m.Usable = false }, false},
+		{"type", func(j *Job, _ *Machine, _ *Picture) { j.Builds = []string{"z"} }, false},
+		{"no type at all", func(j *Job, _ *Machine, _ *Picture) { j.Builds = []string{} }, false},
+		{"zone", func(j *Job, _ *Machine, _ *Picture) { j.Yard = "y" }, false},
+		{"spot", func(j *Job, m *Machine, _ *Picture) { j.Loaned, m.Loaned = false, true }, false},
+		{"zone cap reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Pieces, j.Zones["x"] = true, 3, 2 }, false},
+		{"zone cap not reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Pieces, j.Zones["x"] = true, 4, 1 }, true},
+		{"one zone, elsewhere", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["y"] = true, 1 }, false},
+		{"one zone, here", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["x"] = true, 1 }, true},
+		{"limit", func(_ *Job, _ *Machine, p *Picture) { p.Team["t"] = &Quota{CoresMax: 3, Cores: 2} }, false},
+		{"accelerator limit", func(j *Job, m *Machine, p *Picture) {
+			j.Accel, m.Accel, p.Team["t"] = 1, 4, &Quota{AccelMax: 2, Accel: 2}
+		}, false},
+		{"memory", func(j *Job, _ *Machine, _ *Picture) { j.RAM = 33 }, false},
+	}
+	for _, tt := range tests {
+		j, m := newJob("j-1", 1, 2, 4), machine("a", "x", 8, 32)
+		p := &Picture{Machines: []*Machine{m}, Team: map[string]*Quota{"t": {}}}
+		tt.mod(j, m, p)
+		p.Waiting = []Waiting{{Job: j, Indexes: indexes(1)}}
+		if got := len(Make(p).Launch) == 1; got != tt.want {
+			t.Errorf("%s: placed %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestGangWholeOrNotAtAll(t *testing.T) {
+	j := newJob("j-1", 3, 4, 4)
+	j.SamePlace = true
+	p := &Picture{Machines: []*Machine{machine("a", "x", 8, 32), machine("b", "y", 8, 32)}, Waiting: []Waiting{{Job: j, Indexes: indexes(3)}}}
+	if got := Make(p).Launch; len(got) != 0 {
+		t.Fatalf("part of a gang launched: %v", got)
+	}
+	p.Machines = append(p.Machines, machine("c", "y", 4, 32))
+	got := Make(p).Launch
+	if len(got) != 3 {
+		t.Fatalf("launched %v", got)
+	}
+	for _, l := range got {
+		if l.Machine == "a" {
+			t.Errorf("gang over two zones: %v", got)
+		}
+	}
+}
+
+func TestRepairMovesOnlyCandidates(t *testing.T) {
+	a, b := machine("a", "x", 0, 0), machine("b", "x", 8, 32)
+	a.Banned = "sick"
+	small, big := newJob("j-1", 1, 1, 2), newJob("j-2", 1, 1, 8)
+	for _, j := range []*Job{small, big} {
+		j.Standing, j.Zones["x"], j.Machines["a"] = true, 1, 1
+	}
+	res := Make(&Picture{Machines: []*Machine{a, b}, MoveCap: 1, Candidates: []Candidate{
+		{Job: small, Machine: "a", Reason: ReasonBan}, {Job: big, Machine: "a", Reason: ReasonBan}}})
+	want := []Move{{Task: TaskID{"j-2", 0}, From: "a", To: "b", Reason: ReasonBan}}
+	if diff := cmp.Diff(want, res.Moves); diff != "" {
+		t.Error("largest memory first, within the cap: ", diff)
+	}
+	if res.Deferred != 1 {
+		t.Errorf("deferred %d, want 1", res.Deferred)
+	}
+}
+
+// A swap across a zone cap must not let the cap be passed while the source still runs.
+func TestMoveKeepsZoneCapUntilStopped(t *testing.T) {
+	a, b, c := machine("a", "x", 0, 0), machine("b", "x", 8, 32), machine("c", "y", 8, 32)
+	a.Banned = "sick"
+	j := newJob("j-1", 2, 1, 2)
+	j.Standing, j.Apart = true, true
+	j.Zones["x"], j.Machines["a"] = 1, 1
+	res := Make(&Picture{Machines: []*Machine{a, b, c}, MoveCap: 5,
+		Waiting:    []Waiting{{Job: j, Indexes: []int{1}}},
+		Candidates: []Candidate{{Job: j, Index: 0, Machine: "a", Reason: ReasonBan}}})
+	if len(res.Launch) != 1 || res.Launch[0].Machine != "c" {
+		t.Errorf("launched %v, want on c", res.Launch)
+	}
+	for _, m := range res.Moves {
+		if m.To == "c" {
+			t.Errorf("two in one zone: %v", res.Moves)
+		}
+	}
+}
+
+func TestPreemption(t *testing.T) {
+	m := machine("a", "x", 0, 10)
+	m.Lower = []Victim{{Task: TaskID{"j-1", 0}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Lost: 3},
+		{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Lost: 9}}
+	urgent, equal := newJob("j-2", 2, 4, 4), newJob("j-3", 1, 4, 4)
+	urgent.Rank = wire.RankHigh
+	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{
+		{Job: urgent, Indexes: indexes(2)}, {Job: equal, Indexes: indexes(1)}}})
+	want := []TaskID{{"j-1", 0}}
+	if diff := cmp.Diff(want, res.Preempt); diff != "" {
+		t.Error("one victim makes room for both, an equal rank stops nothing: ", diff)
+	}
+	// Room already on its way is waited for, not made again.
+	m = machine("a", "x", 0, 10)
+	m.StopCores, m.StopRAM = 8, 8
+	m.Lower = []Victim{{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8}}
+	res = Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{{Job: urgent, Indexes: indexes(2)}}})
+	if len(res.Preempt) != 0 {
+		t.Errorf("preempted %v again", res.Preempt)
+	}
+}
+
+// Whatever the picture, no step of a plan breaks capacity, zone cap, limit or ban.
+func TestPlanProperties(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		p := &Picture{Team: map[string]*Quota{"t": {CoresMax: float64(r.IntN(60))}, "u": {}}, MoveCap: 4, Sample: 5, Seed: seed, Preempt: r.IntN(2) == 0}
+		free := map[string][2]float64{}
+		zone := map[string]string{}
+		barred := map[string]bool{}
+		for i := range 3 + r.IntN(8) {
+			m := machine(fmt.Sprintf("m%d", i), string(rune('x'+r.IntN(3))), float64(r.IntN(20)), float64(r.IntN(40)))
+			m.Loaned, m.Usable = r.IntN(3) == 0, r.IntN(6) > 0
+			if r.IntN(6) == 0 {
+				m.Banned = "sick"
+			}
+			free[m.Name], zone[m.Name] = [2]float64{m.Cores, m.RAM}, m.Yard
+			barred[m.Name] = !m.Usable || m.Banned != ""
+			p.Machines = append(p.Machines, m)
+		}
+		jobs := map[string]*Job{}
+		count := map[string]map[string]int{}
+		used := map[string]float64{}
+		for i := range 2 + r.IntN(6) {
+			j := newJob(fmt.Sprintf("j-%d", i), 1+r.IntN(6), float64(1+r.IntN(4)), float64(1+r.IntN(8)))
+			j.Rank, j.Apart, j.SamePlace, j.Loaned = wire.Rank(r.IntN(4)), r.IntN(2) == 0, r.IntN(4) == 0, r.IntN(2) == 0
+			j.Standing = r.IntN(2) == 0
+			if r.IntN(2) == 0 {
+				j.Team = "u"
+			}
+			if j.SamePlace {
+				j.Apart = false
+			}
+			jobs[j.UID], count[j.UID] = j, map[string]int{}
+			from := 0
+			if m := p.Machines[r.IntN(len(p.Machines))]; !j.SamePlace && r.IntN(2) == 0 {
+				// Its first task is placed already, on a machine that it must leave.
+				j.Zones[m.Yard]++
+				j.Machines[m.Name]++
+				count[j.UID][m.Yard]++
+				used[j.Team] += j.Cores
+				p.Team[j.Team].Cores += j.Cores
+				p.Candidates = append(p.Candidates, Candidate{Job: j, Index: 0, Machine: m.Name, Reason: ReasonBan})
+				from = 1
+			}
+			var idx []int
+			for k := from; k < j.Pieces; k++ {
+				idx = append(idx, k)
+			}
+			if len(idx) > 0 {
+				p.Waiting = append(p.Waiting, Waiting{Job: j, Indexes: idx})
+			}
+		}
+		over := p.Team["t"].Cores > p.Team["t"].CoresMax
+		res := Make(p)
+		type add struct{ job, machine string }
+		var adds []add
+		for _, l := range res.Launch {
+			adds = append(adds, add{l.Task.Job, l.Machine})
+		}
+		for _, mv := range res.Moves {
+			adds = append(adds, add{mv.Task.Job, mv.To})
+			// The source is gone before the target starts.
+			count[mv.Task.Job][zone[mv.From]]--
+			used[jobs[mv.Task.Job].Team] -= jobs[mv.Task.Job].Cores
+		}
+		if len(res.Moves) > p.MoveCap {
+			t.Fatalf("seed %d: %d moves", seed, len(res.Moves))
+		}
+		for _, a := range adds {
+			j := jobs[a.job]
+			f := free[a.machine]
+			f[0] -= j.Cores
+			f[1] -= j.RAM
+			free[a.machine] = f
+			count[a.job][zone[a.machine]]++
+			used[j.Team] += j.Cores
+			if f[0] < -1e-6 || f[1] < -1e-6 {
+				t.Fatalf("seed %d: %s over capacity", seed, a.machine)
+			}
+			if barred[a.machine] {
+				t.Fatalf("seed %d: %s placed on barred %s", seed, a.job, a.machine)
+			}
+			if j.Apart && count[a.job][zone[a.machine]] > (j.Pieces+1)/2 {
+				t.Fatalf("seed %d: %s beyond its zone cap", seed, a.job)
+			}
+			if lim := p.Team[j.Team].CoresMax; lim > 0 && !over && used[j.Team] > lim+1e-6 {
+				t.Fatalf("seed %d: team %s uses %v of %v", seed, j.Team, used[j.Team], lim)
+			}
+		}
+		for uid, z := range count {
+			n := 0
+			for _, k := range z {
+				if k > 0 {
+					n++
+				}
+			}
+			if jobs[uid].SamePlace && n > 1 {
+				t.Fatalf("seed %d: %s in %d zones", seed, uid, n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/store/records_test.go
@@ -0,0 +1,57 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestChunkRoundTripAndSize(t *testing.T) {
+	done := make([]bool, ChunkPieces)
+	var runs []Placed
+	for i := range done {
+		if i%3 == 0 {
+			done[i] = true
+			continue
+		}
+		p := Placed{Index: i, Try: 123456}
+		if i%3 == 1 {
+			p.Host, p.Tenure = fmt.Sprintf("n-%09d", i), 98765
+		}
+		runs = append(runs, p)
+	}
+	rec := Pack("1234567.890123", done, runs)
+	gotDone, gotRuns, err := rec.Unpack(ChunkPieces)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(done, gotDone) + cmp.Diff(runs, gotRuns); diff != "" {
+		t.Error(diff)
+	}
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(raw) > 8<<10 {
+		t.Errorf("a full record takes %d bytes of JSON, more than 8 KiB", len(raw))
+	}
+}
+
+func TestUnpackRefusesNonsense(t *testing.T) {
+	for _, rec := range []ChunkRecord{
+		{Done: "f"}, {Done: "z"}, {Runs: [][]int64{{0, 1, 0, 1}}}, {Runs: [][]int64{{5, 1, -1, 0}}}, {Runs: [][]int64{{0, 1}}},
+	} {
+		if _, _, err := rec.Unpack(2); err == nil {
+			t.Errorf("%+v: no error", rec)
+		}
+	}
+}
+
+func TestChunkKey(t *testing.T) {
+	uid, n, ok := ParseChunkKey(ChunkKey("j-12", 833))
+	if uid != "j-12" || n != 833 || !ok {
+		t.Errorf("%q %d %t", uid, n, ok)
+	}
+}
