Size loaned fleet by arriving work, hold peaks, count only seen starts

Ruled out: following the mean of running plus queued tasks, which lags and still pays for each burst.

--- a/cloud/size.go
+++ b/cloud/size.go
@@ -33,6 +33,11 @@
 type Need struct {
 	Ordinary Load // only ordinary machines will do
 	Loaned   Load // spot machines will do
+	// Pressing is the part of Loaned that is worth an ordinary machine's price
+	// when spot machines are not to be had.
+	Pressing Load
+	Hold     float64 // cores for loaned work below which nothing is given up
+	Keep     bool    // nothing is given up yet: too little is known of the demand
 	Reserve  float64
 	Apart    bool // there are replicas to keep in more than one zone
 	MaxCores float64
@@ -118,7 +123,17 @@
 	spare := max(0, ordHave-ordWant)
 	missing = uncordon(true, need.Loaned.Cores-spotHave-spare, need.Loaned)
 	if missing > 0 {
-		rent(&v, builds, need.Loaned, missing, true, map[string]float64{}, false, refused, need.Machines-total)
+		total += rent(&v, builds, need.Loaned, missing, true, map[string]float64{}, false, refused, need.Machines-total)
+	}
+	var coming float64
+	for _, w := range v.Rent {
+		if w.Loaned {
+			coming += float64(w.Count) * worth(byName[w.Build], need.Loaned, 0)
+		}
+	}
+	if missing = need.Pressing.Cores - spotHave - spare - coming; missing > 0 {
+		missing = uncordon(false, missing, need.Loaned)
+		rent(&v, builds, need.Loaned, missing, false, zoneHave, false, refused, need.Machines-total)
 	}
 	// What is too much goes: dearest per core first, emptiest first among equals.
 	surplus := func(loaned bool, over float64, load Load) {
@@ -165,9 +180,9 @@
 			zoneHave[h.Yard] -= w
 		}
 	}
-	if len(v.Rent) == 0 {
-		surplus(true, spotHave+spare-need.Loaned.Cores, need.Loaned)
-		surplus(false, ordHave-ordWant-max(0, need.Loaned.Cores-spotHave), need.Ordinary)
+	if len(v.Rent) == 0 && !need.Keep {
+		surplus(true, spotHave+spare-max(need.Loaned.Cores, need.Hold), need.Loaned)
+		surplus(false, ordHave-ordWant-max(0, need.Pressing.Cores-spotHave), need.Ordinary)
 	}
 	for _, h := range held {
 		if h.Cordoned && h.Up && h.Live == 0 && !slices.Contains(v.Uncordon, h.Name) {
@@ -178,8 +193,7 @@
 }
 
 // rent fills a shortage with the machines that cost least per core of the
-// load, and gives how many it asked for. A load that spot machines may hold
-// falls back on ordinary ones where spot is refused.
+// load, all of one kind, and gives how many it asked for.
 func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
 	type offer struct {
 		b      wire.Build
@@ -195,11 +209,12 @@
 			continue
 		}
 		for _, y := range b.Yards {
-			if !refused(b.SKU, y, false) {
-				offers = append(offers, offer{b, y, false, b.Hourly / w, w})
+			price := b.Hourly
+			if loaned {
+				price = b.Spot
 			}
-			if loaned && b.Spot > 0 && !refused(b.SKU, y, true) {
-				offers = append(offers, offer{b, y, true, b.Spot / w, w})
+			if price > 0 && !refused(b.SKU, y, loaned) {
+				offers = append(offers, offer{b, y, loaned, price / w, w})
 			}
 		}
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -187,6 +187,9 @@
 		Headroom    float64 `json:"headroom"`
 		ReserveOD   float64 `json:"reserve_ordinary"`
 		QueueS      float64 `json:"queue_s"`
+		UrgentS     float64 `json:"urgent_s"`
+		HoldS       float64 `json:"hold_s"`
+		Patience    float64 `json:"patience"`
 		SilentS     float64 `json:"silent_s"`
 		BootFactor  float64 `json:"boot_factor"`
 		MaxMachines int     `json:"max_machines"`
--- a/engine.go
+++ b/engine.go
@@ -64,6 +64,7 @@
 	zones     map[string]int  // tasks that may exist
 	machines  map[string]int
 	ran       runStat
+	counted   bool // its work is among the arrivals
 }
 
 // runStat is what is known of how long a job's tasks run.
@@ -117,7 +118,13 @@
 	teams    map[string]config.Team
 	repairAt clock.Micros
 	raisedAt clock.Micros
-	usage    []sample
+	arrivals []sample // loaned work that arrived within the window
+	rate     cloud.Load
+	rateAt   clock.Micros
+	seeded   cloud.Load // the predecessor's rate
+	lanes    map[string]runStat
+	peaks    []peak
+	gone     map[string]clock.Micros // returned, but the list may still show them
 	pending  map[string]*hire
 	hireSeq  int
 	refused  map[string]clock.Micros
@@ -133,6 +140,7 @@
 		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Warrant),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
+		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
 	}
 	for _, t := range s.cfg.Facts.Teams {
 		g.teams[t.Name] = t
@@ -178,8 +186,21 @@
 	if err != nil {
 		return 0, err
 	}
+	demRow, demFound, err := g.st.Get(ctx, store.Urgent, store.KeyDemand)
+	if err != nil {
+		return 0, err
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var dem store.DemandRecord
+	if demFound && wire.Unmarshal(demRow.Value, &dem) == nil {
+		g.seeded = cloud.Load{Cores: dem.Cores, RAM: dem.RAM, Accel: dem.Accel}
+		for lane, v := range dem.Lanes {
+			if v[0] > 0 && v[1] > 0 {
+				g.lanes[lane] = runStat{n: int(v[0]), sum: clock.Micros(v[1])}
+			}
+		}
+	}
 	if catFound {
 		if err := wire.Unmarshal(catRow.Value, &g.catalog); err != nil {
 			return 0, fmt.Errorf("catalogue record: %w", err)
@@ -250,6 +271,8 @@
 		}
 	}
 	for _, j := range g.jobs {
+		// The predecessor's rate holds the work of the jobs found here.
+		j.counted = demFound
 		if j.cancelled {
 			continue
 		}
@@ -450,7 +473,9 @@
 		pc.state = pieceDone
 		j.done++
 		m.Strikes = 0
-		if b.Running > 0 && b.Since > 0 {
+		// The start of an adopted attempt was not seen: it would look short, and
+		// every other machine slow beside it.
+		if b.Running > 0 && !b.Adopted {
 			g.observe(j, m, now-b.Running)
 		}
 		return
@@ -510,6 +535,14 @@
 	}
 	j.ran.n++
 	j.ran.sum += took
+	// The last few dozen count: lanes change over a day.
+	st := g.lanes[j.spec.Lane]
+	if st.n >= 100 {
+		st = runStat{n: 50, sum: 50 * st.mean()}
+	}
+	st.n++
+	st.sum += took
+	g.lanes[j.spec.Lane] = st
 }
 
 // Beat takes in a worker's report and says what to answer.
--- a/engine_test.go
+++ b/engine_test.go
@@ -656,7 +656,7 @@
 	n := s.node(nil)
 	g, _ := s.elect(n)
 	s.cloud.LoseNext = true
-	s.submit(n, spec("j-1", nil))
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Loaned = false }))
 	s.resync(g)
 	if err := g.readList(t.Context()); err != nil {
 		t.Fatal(err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,7 @@
 	Since   clock.Micros // reserved at
 
 	Recorded bool         // durable: may be sent
+	Adopted  bool         // recorded by a predecessor
 	Status   string       // as last reported; empty before the first report
 	Running  clock.Micros // first seen running
 	Halt     bool         // is to be stopped
@@ -248,7 +249,7 @@
 // the worker has seen this reign's.
 func (f *Fleet) Adopt(m *Machine, b *Booking, now clock.Micros) {
 	f.Reserve(m, b, now)
-	b.Recorded = true
+	b.Recorded, b.Adopted = true, true
 	b.doubt = f.first - 1
 	m.Tenure = max(m.Tenure, b.Tenure)
 	b.firstSent = now
--- a/sizing.go
+++ b/sizing.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"sort"
 
 	"cedardoor/clock"
 	"cedardoor/cloud"
@@ -14,10 +13,16 @@
 	"cedardoor/wire"
 )
 
-// sample is the demand at one moment.
+// sample is the work that arrived with a job, in core-seconds and the like.
 type sample struct {
-	at     clock.Micros
-	loaned cloud.Load
+	at   clock.Micros
+	work cloud.Load
+}
+
+// peak is what loaned work needed at one moment.
+type peak struct {
+	at    clock.Micros
+	cores float64
 }
 
 // hire is a rental that was asked for.
@@ -49,6 +54,7 @@
 		trouble = err != nil
 		if g.op.Fleet.Enabled && listAt != 0 {
 			g.resize(ctx)
+			g.keepDemand(ctx)
 		}
 		g.sleep(ctx, clock.FromSeconds(g.op.Fleet.PeriodS))
 	}
@@ -110,7 +116,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listed := map[string]bool{}
+	for name, at := range g.gone {
+		if now-at > 4*lag+30*clock.Second {
+			delete(g.gone, name)
+		}
+	}
 	for _, h := range hosts {
+		if _, gone := g.gone[h.UID]; gone {
+			continue // an old list: it was returned
+		}
 		listed[h.UID] = true
 		m := g.fl.Machine(h.UID)
 		if m == nil {
@@ -148,10 +162,24 @@
 	return nil
 }
 
+// laneRun is how long tasks of a lane have run, which owners' estimates miss by half or more.
+func (g *reign) laneRun(j *job) clock.Micros {
+	if st := g.lanes[j.spec.Lane]; st.n >= 8 {
+		return st.mean()
+	}
+	return clock.FromSeconds(max(1, j.spec.ExpectS))
+}
+
 // demand sums up the work there is. The caller holds mu.
+//
+// Loaned work is served by a fleet that follows the rate at which work
+// arrives, seen over a window that is long against a machine's boot time and
+// its least charge: renting for each burst pays for machines that come up when
+// the burst is over. The queue adds to that only what it needs to drain in time.
 func (g *reign) demand(now clock.Micros) cloud.Need {
-	need := cloud.Need{Reserve: g.op.Fleet.ReserveOD, Idle: clock.FromSeconds(g.op.Fleet.IdleS), Machines: g.op.Fleet.MaxMachines}
-	var urgent, queue cloud.Load
+	f := &g.op.Fleet
+	need := cloud.Need{Reserve: f.ReserveOD, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
+	var work, all, pressing cloud.Load
 	for _, j := range g.jobs {
 		if j.cancelled {
 			continue
@@ -178,48 +206,89 @@
 			need.Apart = need.Apart || s.Apart
 			continue
 		}
-		add(&urgent, float64(running))
-		if waiting > 0 {
-			// Work that may wait drains within queue_s; work with a deadline, or of a
-			// high rank, wants to run at once.
-			drain := clock.FromSeconds(g.op.Fleet.QueueS)
-			if j.rank >= wire.RankHigh {
-				drain = 0
-			}
-			expect := clock.FromSeconds(max(1, s.ExpectS))
-			if j.ran.n > 0 {
-				expect = j.ran.mean()
-			}
-			share := 1.0
-			if drain > 0 {
-				share = min(1, expect.Seconds()/drain.Seconds())
-			}
-			add(&queue, float64(waiting)*share)
+		run := g.laneRun(j).Seconds()
+		if !j.counted {
+			j.counted = true
+			var l cloud.Load
+			add(&l, run*float64(len(j.pieces)))
+			g.arrivals = append(g.arrivals, sample{at: now, work: l})
 		}
+		drain := f.QueueS
+		if j.rank >= wire.RankHigh {
+			drain = f.UrgentS
+		}
+		left := (float64(waiting) + float64(running)/2) * run
+		add(&work, min(float64(running+waiting), left/drain))
+		add(&pressing, min(float64(running+waiting), left/(drain*f.Patience)))
+		add(&all, float64(running+waiting))
+	}
+	window := clock.FromSeconds(f.WindowS)
+	for len(g.arrivals) > 0 && now-g.arrivals[0].at > window {
+		g.arrivals = g.arrivals[1:]
+	}
+	var rate cloud.Load
+	for _, a := range g.arrivals {
+		rate.Cores += a.work.Cores
+		rate.RAM += a.work.RAM
+		rate.Accel += a.work.Accel
 	}
-	cur := cloud.Load{Cores: urgent.Cores + queue.Cores, RAM: urgent.RAM + queue.RAM, Accel: urgent.Accel + queue.Accel}
-	g.usage = append(g.usage, sample{at: now, loaned: cur})
-	window := clock.FromSeconds(g.op.Fleet.WindowS)
-	for len(g.usage) > 0 && now-g.usage[0].at > window {
-		g.usage = g.usage[1:]
+	span := window.Seconds()
+	if g.seeded == (cloud.Load{}) {
+		span = min(span, max(span/2, (now-g.r.Since).Seconds()))
+	} else if age := (now - g.r.Since).Seconds(); age < span {
+		// The predecessor's rate stands for the part of the window before this reign.
+		rate.Cores += g.seeded.Cores * (span - age)
+		rate.RAM += g.seeded.RAM * (span - age)
+		rate.Accel += g.seeded.Accel * (span - age)
 	}
-	var sum cloud.Load
-	peaks := make([]float64, 0, len(g.usage))
-	for _, u := range g.usage {
-		sum.Cores += u.loaned.Cores
-		sum.RAM += u.loaned.RAM
-		peaks = append(peaks, u.loaned.Cores)
+	rate = cloud.Load{Cores: rate.Cores / span, RAM: rate.RAM / span, Accel: rate.Accel / span}
+	g.rate = rate
+	need.Loaned, need.Pressing = rate, pressing
+	need.Loaned.Cores *= 1 + f.Headroom
+	need.Loaned.RAM *= 1 + f.Headroom
+	if work.Cores > need.Loaned.Cores {
+		need.Loaned = work
 	}
-	sort.Float64s(peaks)
-	need.Loaned = cur
-	n := float64(len(g.usage))
-	if mean := sum.Cores / n * (1 + g.op.Fleet.Headroom); mean > need.Loaned.Cores {
-		need.Loaned.RAM = sum.RAM / n * (1 + g.op.Fleet.Headroom)
-		need.Loaned.Cores = mean
+	// What was needed a short while ago is likely to be needed again before a new
+	// machine could be up: only what has been too much for a while is given up.
+	g.peaks = append(g.peaks, peak{now, need.Loaned.Cores})
+	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(f.HoldS) {
+		g.peaks = g.peaks[1:]
 	}
+	for _, p := range g.peaks {
+		need.Hold = max(need.Hold, p.cores)
+	}
+	need.Keep = now-g.r.Since < 15*clock.Second
 	return need
 }
 
+// keepDemand records the rate of arriving work, so that a new leader does not
+// take its own ignorance for a lack of work and give machines up.
+func (g *reign) keepDemand(ctx context.Context) {
+	g.mu.Lock()
+	now := g.ck.Now()
+	due := now-g.rateAt > 10*clock.Second && g.rate.Cores > 0
+	rec := store.DemandRecord{Cores: g.rate.Cores, RAM: g.rate.RAM, Accel: g.rate.Accel, Lanes: map[string][2]int64{}}
+	for lane, st := range g.lanes {
+		if len(rec.Lanes) < 50 {
+			rec.Lanes[lane] = [2]int64{int64(st.n), int64(st.sum)}
+		}
+	}
+	if due {
+		g.rateAt = now
+	}
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	if _, err := g.st.Commit(ctx, store.Normal, wire.Txn{
+		When:  []wire.When{{Path: store.KeyLead, Stamp: g.r.Stamp}},
+		Apply: []wire.Apply{{Set: store.KeyDemand, Value: rec}},
+	}); err != nil {
+		g.log.Debug("keep demand", "error", err)
+	}
+}
+
 // resize decides and carries out one sizing pass.
 func (g *reign) resize(ctx context.Context) {
 	g.mu.Lock()
@@ -297,7 +366,7 @@
 			giveUp = append(giveUp, name)
 		}
 	}
-	g.log.Debug("sizing", "held", len(held), "ordinary", math.Round(need.Ordinary.Cores), "loaned", math.Round(need.Loaned.Cores),
+	g.log.Debug("sizing", "held", len(held), "ordinary", math.Round(need.Ordinary.Cores), "loaned", math.Round(need.Loaned.Cores), "pressing", math.Round(need.Pressing.Cores), "rate", math.Round(g.rate.Cores),
 		"rent", fmt.Sprint(v.Rent), "cordon", len(v.Cordon), "uncordon", len(v.Uncordon), "return", fmt.Sprint(giveUp))
 	g.mu.Unlock()
 	if len(giveUp) > 0 {
@@ -330,6 +399,7 @@
 	defer g.mu.Unlock()
 	for _, name := range names {
 		g.news(g.fl.Returned(name, now), now)
+		g.gone[name] = now
 	}
 	g.log.Info("machines returned", "hosts", fmt.Sprint(names))
 	g.wake()
--- a/store/records.go
+++ b/store/records.go
@@ -16,6 +16,7 @@
 	KeyLead    = "lead"
 	KeyWarrant = "warrant"
 	KeyCatalog = "catalog"
+	KeyDemand  = "demand"
 	PrefixJob  = "j/"
 	PrefixOver = "f/"
 	PrefixRuns = "p/"
@@ -56,6 +57,15 @@
 	Node string    `msgpack:"n"`
 }
 
+// DemandRecord is the rate of arriving work as the leader last saw it, and
+// each lane's run times as a count and a sum in microseconds.
+type DemandRecord struct {
+	Cores float64             `msgpack:"c"`
+	RAM   float64             `msgpack:"r"`
+	Accel float64             `msgpack:"a"`
+	Lanes map[string][2]int64 `msgpack:"l"`
+}
+
 // OverRecord is a job's final state.
 type OverRecord struct {
 	Status string `msgpack:"s"`
