--- a/cloud/size.go
+++ b/cloud/size.go
@@ -18,8 +18,9 @@
 	Up        bool // takes tasks
 	Lost      bool // silent, sick or about to be taken: counts for nothing
 	Cordoned  bool
-	Live      int // tasks that may be on it
-	Standing  int // of those, replicas
+	Live      int     // tasks that may be on it
+	Standing  int     // of those, replicas
+	Firm      float64 // cores of tasks that only ordinary machines may hold
 	UsedCores float64
 	UsedRAM   float64
 	Idle      clock.Micros // for how long nothing has been on it
@@ -36,14 +37,15 @@
 	// Pressing is the part of Loaned that is worth an ordinary machine's price
 	// when spot machines are not to be had.
 	Pressing Load
-	Hold     float64 // cores for loaned work below which nothing is given up
-	Keep     bool    // nothing is given up yet: too little is known of the demand
-	Reserve  float64
-	Apart    bool // there are replicas to keep in more than one zone
-	MaxCores float64
-	MaxRAM   float64
-	Idle     clock.Micros
-	Machines int
+	// Cores below which nothing is given up: for loaned work, and on ordinary machines.
+	Hold, HoldOrdinary float64
+	Keep               bool // nothing is given up yet: too little is known of the demand
+	Reserve            float64
+	Apart              bool // there are replicas to keep in more than one zone
+	MaxCores           float64
+	MaxRAM             float64
+	Idle               clock.Micros
+	Machines           int
 }
 
 // Wish is a rental to ask for.
@@ -119,6 +121,10 @@
 	missing := uncordon(false, ordWant-ordHave, need.Ordinary)
 	if missing > 0 {
 		total += rent(&v, builds, need.Ordinary, missing, false, zoneHave, need.Apart, refused, need.Machines-total)
+	} else if zone := tight(held, byName, need); zone != "" {
+		// Enough in sum, but not where replicas kept apart could go.
+		only := func(b, y string, l bool) bool { return y != zone || refused(b, y, l) }
+		total += rent(&v, builds, need.Ordinary, 1, false, zoneHave, false, only, min(1, need.Machines-total))
 	}
 	spare := max(0, ordHave-ordWant)
 	missing = uncordon(true, need.Loaned.Cores-spotHave-spare, need.Loaned)
@@ -136,6 +142,10 @@
 		rent(&v, builds, need.Loaned, missing, false, zoneHave, false, refused, need.Machines-total)
 	}
 	// What is too much goes: dearest per core first, emptiest first among equals.
+	moving := false
+	for _, h := range held {
+		moving = moving || h.Cordoned && h.Standing > 0
+	}
 	surplus := func(loaned bool, over float64, load Load) {
 		var list []Held
 		for _, h := range held {
@@ -166,14 +176,19 @@
 		})
 		for _, h := range list {
 			w := worth(byName[h.Build], load, 0)
-			if w > over || h.Standing > 0 {
+			if w > over || h.Live == 0 && h.Idle < need.Idle {
 				continue
 			}
-			if h.Live == 0 && h.Idle < need.Idle {
-				continue
+			if !loaned && tight(without(held, append(v.Cordon, h.Name)), byName, need) != "" {
+				continue // it would have to be rented again
 			}
-			if need.Apart && !loaned && zoneHave[h.Yard]-w < ordWant/4 {
-				continue
+			if h.Standing > 0 {
+				// Its replicas have to be moved: one machine at a time, and not while
+				// another is still being emptied.
+				if moving {
+					continue
+				}
+				moving = true
 			}
 			v.Cordon = append(v.Cordon, h.Name)
 			over -= w
@@ -182,7 +197,7 @@
 	}
 	if len(v.Rent) == 0 && !need.Keep {
 		surplus(true, spotHave+spare-max(need.Loaned.Cores, need.Hold), need.Loaned)
-		surplus(false, ordHave-ordWant-max(0, need.Pressing.Cores-spotHave), need.Ordinary)
+		surplus(false, ordHave-max(ordWant, need.HoldOrdinary)-max(0, need.Pressing.Cores-spotHave), need.Ordinary)
 	}
 	for _, h := range held {
 		if h.Cordoned && h.Up && h.Live == 0 && !slices.Contains(v.Uncordon, h.Name) {
@@ -192,6 +207,54 @@
 	return v
 }
 
+// tight names the zone to rent in when replicas that must be kept apart would
+// find room in fewer than two zones: the one, after the roomiest, with the
+// least to add. Work that spot machines may hold gives way, so it counts as room.
+func tight(held []Held, byName map[string]wire.Build, need Need) string {
+	if !need.Apart {
+		return ""
+	}
+	free := map[string]float64{}
+	for _, b := range byName {
+		for _, y := range b.Yards {
+			free[y] += 0
+		}
+	}
+	for _, h := range held {
+		if !h.Loaned && !h.Lost && !h.Cordoned {
+			free[h.Yard] += worth(byName[h.Build], need.Ordinary, 0) - h.Firm
+		}
+	}
+	zones := make([]string, 0, len(free))
+	for z := range free {
+		zones = append(zones, z)
+	}
+	if len(zones) < 2 {
+		return ""
+	}
+	sort.Slice(zones, func(i, j int) bool {
+		if free[zones[i]] != free[zones[j]] {
+			return free[zones[i]] > free[zones[j]]
+		}
+		return zones[i] < zones[j]
+	})
+	if free[zones[1]] < max(2*need.MaxCores, need.Ordinary.Cores*need.Reserve/2) {
+		return zones[1]
+	}
+	return ""
+}
+
+// without is held less the named machines.
+func without(held []Held, names []string) []Held {
+	out := make([]Held, 0, len(held))
+	for _, h := range held {
+		if !slices.Contains(names, h.Name) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // rent fills a shortage with the machines that cost least per core of the
 // load, all of one kind, and gives how many it asked for.
 func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
--- a/engine.go
+++ b/engine.go
@@ -444,6 +444,8 @@
 			pc.ran = true
 			j.started = true
 			g.met.Start(now - j.seen)
+			g.log.Debug("task started", "piece", b.Piece.String(), "lane", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
+				"placed", (b.Since - j.seen).Seconds(), "fetch", (now - b.Since).Seconds())
 			continue
 		}
 		g.ended(j, pc, b, n.Gone, now)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -300,8 +300,8 @@
 }
 
 // target picks a machine for a task: among those that the rules allow and that
-// have room, the soft spread first, then the kind that costs least, then a
-// machine that has the image, then worst fit: most free memory, ties by free CPU.
+// have room, the soft spread first, then a machine that has the image, then the
+// kind that costs least, then worst fit: most free memory, ties by free CPU.
 func (pl *planner) target(j *Job, zone string, not *Machine) *Machine {
 	var best *Machine
 	for _, m := range pl.pool() {
@@ -325,12 +325,12 @@
 			return x < y
 		}
 	}
-	if a.Loaned != b.Loaned {
-		return a.Loaned
-	}
 	if x, y := a.Images[j.Bundle], b.Images[j.Bundle]; x != y {
 		return x
 	}
+	if a.Loaned != b.Loaned {
+		return a.Loaned
+	}
 	if a.RAM != b.RAM {
 		return a.RAM > b.RAM
 	}
@@ -463,7 +463,7 @@
 		} else {
 			m = pl.target(c.Job, "", from)
 		}
-		if m == nil || c.Reason == ReasonSpread && m != nil && c.Job.Machines[m.Name] > 0 {
+		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason == ReasonDrain && !m.Images[c.Job.Bundle] {
 			if from != nil {
 				c.Job.Zones[from.Yard]++
 				c.Job.Machines[from.Name]++
@@ -472,7 +472,9 @@
 				q.Cores += c.Job.Cores
 				q.Accel += c.Job.Accel
 			}
-			pl.out.Violations++
+			if c.Reason != ReasonDrain {
+				pl.out.Violations++
+			}
 			continue
 		}
 		pl.book(c.Job, m)
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -6,6 +6,9 @@
 const (
 	ReasonBan    = "ban"
 	ReasonSpread = "spread"
+	// ReasonDrain is a machine that is to be returned because there are too many:
+	// nothing is wrong with it, so a task leaves only for a machine that has its image.
+	ReasonDrain = "drain"
 )
 
 // slop absorbs rounding of decimal amounts.
--- a/sizing.go
+++ b/sizing.go
@@ -19,10 +19,11 @@
 	work cloud.Load
 }
 
-// peak is what loaned work needed at one moment.
+// peak is what was needed at one moment.
 type peak struct {
-	at    clock.Micros
-	cores float64
+	at       clock.Micros
+	cores    float64
+	ordinary float64
 }
 
 // hire is a rental that was asked for.
@@ -170,6 +171,36 @@
 	return clock.FromSeconds(max(1, j.spec.ExpectS))
 }
 
+// drains says how fast a job's lane should be worked off: in how many seconds
+// with spot machines, and in how many at the price of ordinary ones. Where the
+// platform states by when the lane's jobs should be done, what is left of that
+// after a boot is the measure.
+func (g *reign) drains(j *job, run float64) (drain, patient float64) {
+	f := &g.op.Fleet
+	drain = f.QueueS
+	if j.rank >= wire.RankHigh {
+		drain = f.UrgentS
+	}
+	patient = drain * f.Patience
+	ready := 0.0
+	for i, b := range g.catalog.Builds {
+		if i == 0 || b.ReadyS < ready {
+			ready = b.ReadyS
+		}
+	}
+	within := 0.0
+	for _, o := range g.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == j.spec.Lane && (within == 0 || o.WithinS < within) {
+			within = o.WithinS
+		}
+	}
+	if within > 0 {
+		patient = max(20, min(patient, within-ready))
+		drain = min(drain, patient)
+	}
+	return drain, patient
+}
+
 // demand sums up the work there is. The caller holds mu.
 //
 // Loaned work is served by a fleet that follows the rate at which work
@@ -213,13 +244,10 @@
 			add(&l, run*float64(len(j.pieces)))
 			g.arrivals = append(g.arrivals, sample{at: now, work: l})
 		}
-		drain := f.QueueS
-		if j.rank >= wire.RankHigh {
-			drain = f.UrgentS
-		}
+		drain, patient := g.drains(j, run)
 		left := (float64(waiting) + float64(running)/2) * run
 		add(&work, min(float64(running+waiting), left/drain))
-		add(&pressing, min(float64(running+waiting), left/(drain*f.Patience)))
+		add(&pressing, min(float64(running+waiting), left/patient))
 		add(&all, float64(running+waiting))
 	}
 	window := clock.FromSeconds(f.WindowS)
@@ -251,12 +279,13 @@
 	}
 	// What was needed a short while ago is likely to be needed again before a new
 	// machine could be up: only what has been too much for a while is given up.
-	g.peaks = append(g.peaks, peak{now, need.Loaned.Cores})
+	g.peaks = append(g.peaks, peak{now, need.Loaned.Cores, need.Ordinary.Cores * (1 + need.Reserve)})
 	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(f.HoldS) {
 		g.peaks = g.peaks[1:]
 	}
 	for _, p := range g.peaks {
 		need.Hold = max(need.Hold, p.cores)
+		need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
 	}
 	need.Keep = now-g.r.Since < 15*clock.Second
 	return need
@@ -312,6 +341,9 @@
 				if j := g.jobs[b.Piece.Job]; j != nil && j.standing() {
 					h.Standing++
 				}
+				if !b.Loaned {
+					h.Firm += b.Cores
+				}
 			}
 		})
 		if m.IdleFrom > 0 {
--- a/step.go
+++ b/step.go
@@ -190,7 +190,7 @@
 		}
 	}
 	if round {
-		g.candidates(p, planJob)
+		g.candidates(p, planJob, now)
 	}
 	return p
 }
@@ -231,10 +231,14 @@
 	}
 }
 
+// settled is how long a replica is left alone after its start: a start that is
+// undone within half a minute is none to its users.
+const settled = 40 * clock.Second
+
 // candidates lists the placed tasks on offending machines or in broken rules.
 // Batch tasks that could not save are left to finish on a machine that still
 // works: stopping them would lose what repair is meant to protect.
-func (g *reign) candidates(p *plan.Picture, planJob func(*job) *plan.Job) {
+func (g *reign) candidates(p *plan.Picture, planJob func(*job) *plan.Job, now clock.Micros) {
 	for _, m := range g.fl.Machines() {
 		m.Each(func(b *fleet.Booking) {
 			j := g.jobs[b.Piece.Job]
@@ -249,8 +253,8 @@
 			switch {
 			case m.Banned != "" && (j.standing() || b.Saves || m.Banned == "sick"):
 				reason = plan.ReasonBan
-			case m.Cordoned && j.standing():
-				reason = plan.ReasonBan
+			case m.Cordoned && j.standing() && now-b.Since > settled:
+				reason = plan.ReasonDrain
 			case j.standing() && planJob(j).Machines[m.Name] > 1:
 				reason = plan.ReasonSpread
 			default:
