--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,31 @@
 	return nil, false, fmt.Errorf("commands to %s: status %d", endpoint, resp.StatusCode)
 }
 
+// Show asks a worker for its report.
+func (c *Client) Show(ctx context.Context, endpoint string) (*wire.Beat, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint+wire.PathShow, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask %s: status %d", endpoint, resp.StatusCode)
+	}
+	b, err := wire.DecodeBeat(body)
+	if err != nil {
+		return nil, fmt.Errorf("report of %s: %w", endpoint, err)
+	}
+	return &b, nil
+}
+
 // Steward is the leader's side of the beats.
 type Steward interface {
 	// Beat takes a report in; ok is false when this node may not answer it.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,6 +105,8 @@
 	Banned    string       // why repair must empty it; empty when not banned
 	Cordoned  bool         // gets nothing new, is to be returned when empty
 	Strikes   int          // errors in a row
+	Probing   bool         // is being asked why it is silent
+	Deaf      int          // such questions in a row without an answer
 	Slow      float64      // observed run time against other machines'; 1 is usual
 	SlowN     int
 
@@ -321,7 +323,7 @@
 	m.Tenure, m.Tally = rep.Tenure, rep.Tally
 	m.Warrant = max(m.Warrant, rep.Warrant)
 	if viaBeat {
-		m.Beaten, m.LastBeat = true, now
+		m.Beaten, m.LastBeat, m.Deaf = true, now, 0
 	}
 	if rep.WarningS != nil {
 		m.WarnUntil = now + clock.FromSeconds(*rep.WarningS)
--- a/step.go
+++ b/step.go
@@ -61,6 +61,7 @@
 		}
 	}
 	g.dispatch(ctx)
+	g.probeSilent(ctx)
 	g.fence(ctx)
 }
 
