--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,7 +115,7 @@
 	UsedRAM   float64
 
 	Bookings map[PieceID]map[uint64]*Booking
-	Images   map[string]clock.Micros // bundles seen here, by last use
+	Images   map[string]bool // bundles seen here; true once one was fetched whole
 	strays   map[string]stray
 }
 
@@ -223,7 +223,7 @@
 	m := f.machines[name]
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: now, IdleFrom: now, Slow: 1, LeaseEnd: now + f.lease,
-			Bookings: map[PieceID]map[uint64]*Booking{}, Images: map[string]clock.Micros{}, strays: map[string]stray{}}
+			Bookings: map[PieceID]map[uint64]*Booking{}, Images: map[string]bool{}, strays: map[string]stray{}}
 		f.machines[name] = m
 	}
 	return m
@@ -318,7 +318,7 @@
 		// A new session: the worker has killed all that ran in the ones before.
 		news = append(news, f.dropSessions(m, rep.Tenure, now)...)
 		m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
-		m.Images = map[string]clock.Micros{}
+		m.Images = map[string]bool{}
 	}
 	m.Tenure, m.Tally = rep.Tenure, rep.Tally
 	m.Warrant = max(m.Warrant, rep.Warrant)
@@ -349,7 +349,7 @@
 		}
 		shown[key{id, p.Try}] = true
 		b.Status = p.Status
-		m.Images[b.Bundle] = now
+		m.Images[b.Bundle] = m.Images[b.Bundle] || p.Status == wire.PieceRunning
 		if p.Status == wire.PieceRunning && b.Running == 0 {
 			b.Running = now
 			news = append(news, News{Booking: b, Started: true})
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -17,6 +17,16 @@
 	"cedardoor/wire"
 )
 
+// Image is how far a machine is with an image.
+type Image int
+
+// The states of an image on a machine, best last.
+const (
+	ImageAbsent Image = iota
+	ImageComing
+	ImageHeld
+)
+
 // Machine is a machine in the picture.
 type Machine struct {
 	Name, Build, Yard string
@@ -27,7 +37,7 @@
 	Usable                        bool   // reports, and may be given tasks
 	Banned                        string // why it is to be emptied
 	Cordoned                      bool   // gets no new tasks, but need not be emptied
-	Images                        map[string]bool
+	Images                        map[string]Image
 	Lower                         []Victim // tasks that may be preempted, cheapest first
 
 	leaving int
@@ -321,12 +331,12 @@
 		if x, y := j.Machines[a.Name], j.Machines[b.Name]; x != y {
 			return x < y
 		}
-		if x, y := j.Zones[a.Yard], j.Zones[b.Yard]; x != y {
-			return x < y
-		}
 	}
 	if x, y := a.Images[j.Bundle], b.Images[j.Bundle]; x != y {
-		return x
+		return x > y
+	}
+	if x, y := j.Zones[a.Yard], j.Zones[b.Yard]; j.Standing && x != y {
+		return x < y
 	}
 	if a.Loaned != b.Loaned {
 		return a.Loaned
@@ -463,7 +473,7 @@
 		} else {
 			m = pl.target(c.Job, "", from)
 		}
-		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason == ReasonDrain && !m.Images[c.Job.Bundle] {
+		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason == ReasonDrain && m.Images[c.Job.Bundle] != ImageHeld {
 			if from != nil {
 				c.Job.Zones[from.Yard]++
 				c.Job.Machines[from.Name]++
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -11,7 +11,7 @@
 )
 
 func machine(name, zone string, cores, ram float64) *Machine {
-	return &Machine{Name: name, Build: "b", Yard: zone, Cores: cores, RAM: ram, Usable: true, Images: map[string]bool{}}
+	return &Machine{Name: name, Build: "b", Yard: zone, Cores: cores, RAM: ram, Usable: true, Images: map[string]Image{}}
 }
 
 func newJob(uid string, pieces int, cores, ram float64) *Job {
@@ -39,7 +39,7 @@
 
 func TestLaunchPrefersImage(t *testing.T) {
 	a, b := machine("a", "x", 8, 10), machine("b", "x", 8, 30)
-	a.Images["img"] = true
+	a.Images["img"] = ImageHeld
 	j := newJob("j-1", 1, 1, 2)
 	j.Bundle = "img"
 	got := Make(&Picture{Machines: []*Machine{a, b}, Waiting: []Waiting{{Job: j, Indexes: indexes(1)}}}).Launch
--- a/step.go
+++ b/step.go
@@ -116,9 +116,12 @@
 	for _, m := range g.fl.Machines() {
 		c, a, r := m.Free()
 		pm := &plan.Machine{Name: m.Name, Build: m.Build, Yard: m.Yard, Loaned: m.Loaned, Cores: c, Accel: a, RAM: r,
-			Usable: g.usable(m, now), Banned: m.Banned, Cordoned: m.Cordoned, Images: map[string]bool{}}
-		for b := range m.Images {
-			pm.Images[b] = true
+			Usable: g.usable(m, now), Banned: m.Banned, Cordoned: m.Cordoned, Images: map[string]plan.Image{}}
+		for b, whole := range m.Images {
+			pm.Images[b] = plan.ImageComing
+			if whole {
+				pm.Images[b] = plan.ImageHeld
+			}
 		}
 		m.Each(func(b *fleet.Booking) {
 			if !b.Live() {
