--- a/plan/plan.go
+++ b/plan/plan.go
@@ -201,8 +201,14 @@
 		}
 		for n, index := range w.Indexes {
 			m := pl.target(j, "", nil)
+			if m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && pl.makeRoom(j, true) {
+				// Only cold machines have room: waiting for an image costs an urgent task
+				// more than a little lost work costs the one that makes way.
+				pl.out.Unplaced[j.UID]++
+				continue
+			}
 			if m == nil {
-				if pl.Preempt && pl.makeRoom(j) {
+				if pl.Preempt && pl.makeRoom(j, false) {
 					// Its room is on the way; it is claimed so that nobody else takes it.
 					pl.out.Unplaced[j.UID]++
 					continue
@@ -373,14 +379,21 @@
 	j.Machines[m.Name]++
 }
 
+// barelyBegun is how much progress may be lost to spare an urgent task the
+// fetch of its image.
+const barelyBegun = 6 * clock.Second
+
 // makeRoom finds a machine where stopping less important work lets one task
 // in, and claims the room. The task itself is launched when the stops are confirmed.
-func (pl *planner) makeRoom(j *Job) bool {
+//
+// With warm set, only machines that hold the image count, where no task of
+// the job is yet, and only work that has barely begun, or any for a replica.
+func (pl *planner) makeRoom(j *Job, warm bool) bool {
 	var best *Machine
 	var bestCost clock.Micros
 	var bestSet []int
 	for _, m := range pl.pool() {
-		if !pl.allowed(j, m) {
+		if !pl.allowed(j, m) || warm && (m.Images[j.Bundle] != ImageHeld || j.Standing && j.Machines[m.Name] > 0) {
 			continue
 		}
 		cores, accel, ram := m.Cores+m.StopCores, m.Accel+m.StopAccel, m.RAM+m.StopRAM
@@ -391,7 +404,7 @@
 				break
 			}
 			v := &m.Lower[i]
-			if v.taken || !(v.Rank < j.Rank || v.Borrowed && j.Entitled) {
+			if v.taken || warm && !j.Standing && v.Lost > barelyBegun || !(v.Rank < j.Rank || v.Borrowed && j.Entitled) {
 				continue
 			}
 			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
--- a/step.go
+++ b/step.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// stopSoon is how long the room of a task that was told to stop is waited for.
+const stopSoon = 3 * clock.Second
+
 // picture is the snapshot that the planner works on. The caller holds mu.
 func (g *reign) picture(now clock.Micros, round bool) *plan.Picture {
 	g.seq++
@@ -145,6 +148,9 @@
 				pj.Zones[m.Yard]++
 			}
 			pj.Machines[m.Name]++
+			if b.Halt && now-b.HaltAt > stopSoon {
+				return // it does not obey: its room may be long in coming
+			}
 			if b.Halt {
 				pm.StopCores += b.Cores
 				pm.StopAccel += b.Accel
