--- a/cloud/size.go
+++ b/cloud/size.go
@@ -39,9 +39,10 @@
 	Pressing Load
 	// Cores below which nothing is given up: for loaned work, and on ordinary machines.
 	Hold, HoldOrdinary float64
-	Keep               bool // nothing is given up yet: too little is known of the demand
-	Reserve            float64
-	Apart              bool // there are replicas to keep in more than one zone
+	Keep               bool    // nothing is given up yet: too little is known of the demand
+	Reserve            float64 // share of Ordinary kept free
+	Growth             float64 // cores that Ordinary is about to grow by
+	Apart              bool    // there are replicas to keep in more than one zone
 	MaxCores           float64
 	MaxRAM             float64
 	Idle               clock.Micros
@@ -88,7 +89,7 @@
 	for _, b := range builds {
 		byName[b.SKU] = b
 	}
-	ordWant := need.Ordinary.Cores * (1 + need.Reserve)
+	ordWant := need.Ordinary.Cores*(1+need.Reserve) + need.Growth
 	var ordHave, spotHave float64
 	zoneHave := map[string]float64{}
 	for _, h := range held {
--- a/sizing.go
+++ b/sizing.go
@@ -22,6 +22,7 @@
 // peak is what was needed at one moment.
 type peak struct {
 	at       clock.Micros
+	firm     float64 // cores that only ordinary machines may hold
 	cores    float64
 	ordinary float64
 }
@@ -279,7 +280,19 @@
 	}
 	// What was needed a short while ago is likely to be needed again before a new
 	// machine could be up: only what has been too much for a while is given up.
-	g.peaks = append(g.peaks, peak{now, need.Loaned.Cores, need.Ordinary.Cores * (1 + need.Reserve)})
+	// Replicas arrive faster at some times than at others, and a machine takes a
+	// boot to come: what half a minute added is expected once more.
+	const look = 30 * clock.Second
+	for i := len(g.peaks) - 1; i >= 0; i-- {
+		if now-g.peaks[i].at > look || i == 0 {
+			span := max(10*clock.Second, now-g.peaks[i].at)
+			if grown := need.Ordinary.Cores - g.peaks[i].firm; grown > 0 && now-g.r.Since > 2*look {
+				need.Growth = grown * look.Seconds() / span.Seconds()
+			}
+			break
+		}
+	}
+	g.peaks = append(g.peaks, peak{now, need.Ordinary.Cores, need.Loaned.Cores, need.Ordinary.Cores*(1+need.Reserve) + need.Growth})
 	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(f.HoldS) {
 		g.peaks = g.peaks[1:]
 	}
