Drain arrays against their stated aim less a boot and the run

Cause: in a burst of 2.5 times the arrays the queue was given 100 s to drain when the aim is done within 120 s.

--- a/sizing.go
+++ b/sizing.go
@@ -196,8 +196,8 @@
 		}
 	}
 	if within > 0 {
-		patient = max(20, min(patient, within-ready))
-		drain = min(drain, patient)
+		patient = max(20, min(patient, within-ready-1.5*run))
+		drain = min(drain, 0.5*patient)
 	}
 	return drain, patient
 }
