--- /dev/null
+++ b/cloud/size_test.go
@@ -0,0 +1,110 @@
+package cloud
+
+import (
+	"testing"
+
+	"cedardoor/clock"
+	"cedardoor/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var builds = []wire.Build{
+	{SKU: "s", Cores: 8, RAM: 32, Hourly: 0.48, Spot: 0.2, Yards: []string{"x", "y"}},
+	{SKU: "l", Cores: 32, RAM: 128, Hourly: 2.4, Spot: 0.96, Yards: []string{"x", "y"}},
+}
+
+func none(string, string, bool) bool { return false }
+
+func TestRentsCheapestPerCore(t *testing.T) {
+	v := Size(builds, nil, Need{Loaned: Load{Cores: 16, RAM: 32}, Machines: 10}, none)
+	n := 0
+	for _, w := range v.Rent {
+		if w.Build != "s" || !w.Loaned {
+			t.Errorf("rents %+v", w)
+		}
+		n += w.Count
+	}
+	if n != 2 {
+		t.Errorf("rents %d machines, want 2", n)
+	}
+}
+
+func TestOrdinaryForLoanedOnlyWhenPressing(t *testing.T) {
+	noSpot := func(_, _ string, loaned bool) bool { return loaned }
+	need := Need{Loaned: Load{Cores: 32, RAM: 64}, Machines: 10}
+	if v := Size(builds, nil, need, noSpot); len(v.Rent) != 0 {
+		t.Errorf("rents %v though nothing presses", v.Rent)
+	}
+	need.Pressing = Load{Cores: 8, RAM: 16}
+	v := Size(builds, nil, need, noSpot)
+	if len(v.Rent) != 1 || v.Rent[0].Loaned || v.Rent[0].Count != 1 {
+		t.Errorf("rents %v, want one ordinary machine", v.Rent)
+	}
+}
+
+func TestMemoryBinds(t *testing.T) {
+	// 16 GB a core: a machine of 8 cores and 32 GB holds two cores' worth.
+	v := Size(builds[:1], nil, Need{Ordinary: Load{Cores: 4, RAM: 64}, Machines: 10}, none)
+	n := 0
+	for _, w := range v.Rent {
+		n += w.Count
+	}
+	if n != 2 {
+		t.Errorf("rents %d machines, want 2", n)
+	}
+}
+
+func TestSurplusIsCordonedThenReturned(t *testing.T) {
+	idle := Held{Name: "a", Build: "s", Yard: "x", Loaned: true, Up: true, Idle: 60 * clock.Second}
+	v := Size(builds, []Held{idle}, Need{Machines: 10, Idle: 25 * clock.Second}, none)
+	if diff := cmp.Diff([]string{"a"}, v.Cordon); diff != "" {
+		t.Error(diff)
+	}
+	idle.Cordoned = true
+	v = Size(builds, []Held{idle}, Need{Machines: 10}, none)
+	if diff := cmp.Diff([]string{"a"}, v.Return); diff != "" {
+		t.Error(diff)
+	}
+	// Needed again: taken back before anything is rented.
+	v = Size(builds, []Held{idle}, Need{Machines: 10, Loaned: Load{Cores: 8, RAM: 8}}, none)
+	if len(v.Rent) != 0 || len(v.Uncordon) != 1 || len(v.Return) != 0 {
+		t.Errorf("%+v", v)
+	}
+	// What was needed a moment ago is held.
+	idle.Cordoned = false
+	v = Size(builds, []Held{idle}, Need{Machines: 10, Hold: 8}, none)
+	if len(v.Cordon) != 0 {
+		t.Errorf("gives up %v", v.Cordon)
+	}
+}
+
+// A machine with tasks that cannot be counted on is replaced.
+func TestLostMachinesCountForNothing(t *testing.T) {
+	held := []Held{{Name: "a", Build: "s", Yard: "x", Up: true, Lost: true, Live: 2, Standing: 2, Firm: 8}}
+	v := Size(builds, held, Need{Ordinary: Load{Cores: 8, RAM: 8}, Machines: 10}, none)
+	if len(v.Rent) != 1 {
+		t.Errorf("rents %v", v.Rent)
+	}
+}
+
+func TestApartNeedsRoomInTwoZones(t *testing.T) {
+	held := []Held{{Name: "a", Build: "l", Yard: "x", Up: true, Standing: 2, Firm: 4}}
+	need := Need{Ordinary: Load{Cores: 4, RAM: 8}, MaxCores: 2, Machines: 10}
+	if v := Size(builds, held, need, none); len(v.Rent) != 0 {
+		t.Errorf("rents %v", v.Rent)
+	}
+	need.Apart = true
+	v := Size(builds, held, need, none)
+	want := []Wish{{Build: "s", Yard: "y", Count: 1}}
+	if diff := cmp.Diff(want, v.Rent); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestMachineLimit(t *testing.T) {
+	held := []Held{{Name: "a", Build: "s", Yard: "x"}, {Name: "b", Build: "s", Yard: "x"}}
+	if v := Size(builds, held, Need{Loaned: Load{Cores: 100, RAM: 8}, Machines: 2}, none); len(v.Rent) != 0 {
+		t.Errorf("rents %v beyond the limit", v.Rent)
+	}
+}
