Relay users of a node refused alone; abdicate when deaf; count cancelled tasks

Found on reading, guarded by tests: a node that the state service refuses alone answered 503 to its third of the users; a leader cut off from all workers kept the lead while their leases ran out; a new leader counted nothing for a cancelled job's tasks that were still on machines (team limit, room).

--- a/api/api.go
+++ b/api/api.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,10 @@
 	// Accepted and Refused, if set, are told of each submission's outcome.
 	Observe func(kind string, took clock.Micros, status int)
 
+	// Relay passes a request to another controller and gives its answer, unless
+	// none could serve it.
+	Relay func(ctx context.Context, method, path string, body []byte) (status int, answer []byte, ok bool)
+
 	mu   sync.Mutex // guards over
 	over map[string]store.OverRecord
 }
@@ -47,12 +52,76 @@
 
 // Routes adds the users' paths to a router.
 func (u *Users) Routes(r chi.Router) {
-	r.Post(wire.PathRuns, u.submit)
-	r.Get(wire.PathRuns+"/{uid}", u.query)
-	r.Post(wire.PathRuns+"/{uid}/"+wire.SuffixAbort, u.abort)
+	r.Post(wire.PathRuns, u.relayed(u.submit))
+	r.Get(wire.PathRuns+"/{uid}", u.relayed(u.query))
+	r.Post(wire.PathRuns+"/{uid}/"+wire.SuffixAbort, u.relayed(u.abort))
 	r.Get(wire.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 }
 
+type relayKey struct{}
+
+// Relayed marks a request that another controller passed on: it is not passed on again.
+func Relayed(ctx context.Context) context.Context { return context.WithValue(ctx, relayKey{}, true) }
+
+// Kept is an answer held in memory until it is clear where it goes.
+type Kept struct {
+	Head   http.Header
+	Status int
+	Body   bytes.Buffer
+}
+
+// NewKept makes an empty answer.
+func NewKept() *Kept { return &Kept{Head: http.Header{}, Status: http.StatusOK} }
+
+// Header implements http.ResponseWriter.
+func (k *Kept) Header() http.Header { return k.Head }
+
+// WriteHeader implements http.ResponseWriter.
+func (k *Kept) WriteHeader(status int) { k.Status = status }
+
+// Write implements http.ResponseWriter.
+func (k *Kept) Write(p []byte) (int, error) { return k.Body.Write(p) }
+
+// relayed serves a request here, or through another controller when the state
+// service does not serve this one: every request may be repeated, so one that
+// was half done here is simply done again there.
+func (u *Users) relayed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if u.Relay == nil || r.Context().Value(relayKey{}) != nil {
+			next(w, r)
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+		if err != nil {
+			refuse(w, http.StatusBadRequest, 0, "body too large or cut short")
+			return
+		}
+		relay := func() bool {
+			status, answer, ok := u.Relay(r.Context(), r.Method, r.URL.Path, body)
+			if !ok || status == http.StatusServiceUnavailable {
+				return false
+			}
+			w.Header().Set("Content-Type", wire.ContentType)
+			w.WriteHeader(status)
+			_, _ = w.Write(answer)
+			return true
+		}
+		failing := u.Store.Failing()
+		if failing && relay() {
+			return
+		}
+		h := NewKept()
+		h.Head = w.Header()
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next(h, r)
+		if h.Status == http.StatusServiceUnavailable && !failing && u.Store.Failing() && relay() {
+			return
+		}
+		w.WriteHeader(h.Status)
+		_, _ = w.Write(h.Body.Bytes())
+	}
+}
+
 func refuse(w http.ResponseWriter, status int, after int, why string) {
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(after))
@@ -284,7 +353,12 @@
 			agent.Write(w, http.StatusOK, wire.View{UID: uid, Status: over.Status})
 			return
 		}
-		rec := store.OverRecord{Status: wire.JobCancelled, Nonce: u.Node}
+		var job store.JobRecord
+		if err := wire.Unmarshal(row.Value, &job); err != nil {
+			u.unavailable(w, err)
+			return
+		}
+		rec := store.Over(&job.Spec, wire.JobCancelled, u.Node)
 		_, err = u.Store.Commit(ctx, store.Urgent, wire.Txn{
 			When:  []wire.When{{Path: store.JobKey(uid), Stamp: row.Stamp}},
 			Apply: []wire.Apply{{Delete: store.JobKey(uid)}, {Set: store.OverKey(uid), Value: rec}},
--- a/engine.go
+++ b/engine.go
@@ -128,7 +128,7 @@
 	pending  map[string]*hire
 	hireSeq  int
 	refused  map[string]clock.Micros
-	moving   int
+	heard    clock.Micros // the last beat of any worker
 	blocked  clock.Micros // when a lack of room was last logged
 }
 
@@ -190,6 +190,26 @@
 	if err != nil {
 		return 0, err
 	}
+	// Jobs that are over while some of their tasks may still be on machines.
+	left := map[string]wire.Spec{}
+	there := map[string]bool{}
+	for _, row := range jobs {
+		there[row.Path] = true
+	}
+	for _, row := range chunks {
+		uid, _, ok := store.ParseChunkKey(row.Path)
+		if _, known := left[uid]; !ok || known || there[store.JobKey(uid)] {
+			continue
+		}
+		over, found, err := g.st.Get(ctx, store.Urgent, store.OverKey(uid))
+		if err != nil {
+			return 0, err
+		}
+		var rec store.OverRecord
+		if found && wire.Unmarshal(over.Value, &rec) == nil {
+			left[uid] = wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Pieces}
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var dem store.DemandRecord
@@ -228,7 +248,7 @@
 		j := g.jobs[uid]
 		if j == nil {
 			// Over, but its tasks were not all known to be gone.
-			j = &job{uid: uid, cancelled: true, failedOn: map[string]bool{}}
+			j = &job{uid: uid, spec: left[uid], cancelled: true, failedOn: map[string]bool{}}
 			g.jobs[uid] = j
 		}
 		for len(j.chunks) <= n {
@@ -552,6 +572,7 @@
 	now := g.ck.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.heard = now
 	warrant, may := g.el.MayAnswer()
 	if !may || !g.loaded {
 		return wire.BeatAnswer{}, false
--- a/engine_test.go
+++ b/engine_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 	"cedardoor/config"
 	"cedardoor/internal/standin"
 	"cedardoor/lead"
+	"cedardoor/peer"
 	"cedardoor/store"
 	"cedardoor/wire"
 
@@ -695,3 +698,107 @@
 		t.Fatal("job missed")
 	}
 }
+
+// connect lets controllers reach each other.
+func (s *site) connect(nodes ...*Service) {
+	s.t.Helper()
+	for _, n := range nodes {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		done := make(chan struct{})
+		ctx, cancel := context.WithCancel(s.t.Context())
+		go func() { defer close(done); peer.Serve(ctx, ln, n.answerPeer, n.log) }()
+		s.t.Cleanup(func() { cancel(); <-done })
+		for _, o := range nodes {
+			if o != n {
+				o.links[n.cfg.Node] = peer.NewLink(ln.Addr().String())
+				o.relays[n.cfg.Node] = peer.NewLink(ln.Addr().String())
+				o.users.Relay = o.relay
+			}
+		}
+	}
+}
+
+// A node that the state service refuses alone serves users through another.
+func TestRefusedNodeRelays(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	s.connect(a, b)
+	s.elect(b)
+	s.submit(a, spec("j-1", nil))
+	s.state.Refuse(a.cfg.Node, true)
+	for range 2 { // the first refusals show that it is not a single one
+		s.ask(a, http.MethodGet, wire.PathRuns+"/j-1", nil)
+	}
+	if code, v, _ := s.ask(a, http.MethodGet, wire.PathRuns+"/j-1", nil); code != 200 || v.UID != "j-1" {
+		t.Errorf("query: %d %+v", code, v)
+	}
+	if code, _, _ := s.ask(a, http.MethodPost, wire.PathRuns, spec("j-2", nil)); code != 201 {
+		t.Errorf("submit: %d", code)
+	}
+	if code, _, _ := s.ask(a, http.MethodGet, wire.PathRuns+"/j-3", nil); code != 404 {
+		t.Errorf("unknown job: %d", code)
+	}
+	if code, v, _ := s.ask(a, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 || v.Status != wire.JobCancelled {
+		t.Errorf("abort: %d %+v", code, v)
+	}
+	// In an outage nobody can serve: the answer is 503, at once.
+	s.state.Refuse("", true)
+	if code, _, h := s.ask(a, http.MethodGet, wire.PathRuns+"/j-2", nil); code != 503 || h.Get("Retry-After") == "" {
+		t.Errorf("in an outage: %d %v", code, h)
+	}
+}
+
+// A leader cut off from every worker makes room for one that may hear them.
+func TestDeafLeaderAbdicates(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	beat(t, g, s.worker("n-1", "x", true))
+	beat(t, g, s.worker("n-2", "y", true))
+	s.advance(9 * time.Second)
+	g.abdicate()
+	if _, ok := n.el.MayAnswer(); !ok {
+		t.Fatal("gave up after a pause")
+	}
+	s.advance(2 * time.Second)
+	g.abdicate()
+	// The hold is dropped: the key goes.
+	for s.state.Value(store.KeyLead, nil) {
+		runtime.Gosched()
+	}
+}
+
+// A new leader counts what a cancelled job's tasks take while they may still exist.
+func TestCancelledTasksCountForLimit(t *testing.T) {
+	limit := func(f *config.Facts) { f.Teams[0].CPUsMax = 4 }
+	s := newSite(t)
+	a, b := s.node(limit), s.node(limit)
+	ga, stop := s.elect(a)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
+	s.resync(ga)
+	s.settle(ga)
+	stop()
+	if code, _, _ := s.ask(b, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 {
+		t.Fatalf("abort: %d", code)
+	}
+	s.submit(b, spec("j-2", nil))
+	gb, _ := s.elect(b)
+	beat(t, gb, other)
+	s.settle(gb)
+	if got := other.Starts(); len(got) != 0 {
+		t.Fatalf("beyond the limit: %v while %v are on another machine", got, w.Live())
+	}
+	beat(t, gb, w)
+	beat(t, gb, w)
+	s.settle(gb)
+	beat(t, gb, other)
+	s.settle(gb)
+	if got := len(other.Starts()) + len(w.Live()); got != 1 {
+		t.Fatalf("%d tasks after the cancelled ones were gone", got)
+	}
+}
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -53,6 +53,22 @@
 	leader   string       // who leads, as last seen; empty when nobody does
 	seq      uint64
 	vStamp   uint64 // of the warrant key
+	resting  clock.Micros
+	quit     chan struct{} // closed to end the reign early
+}
+
+// rest is how long a node that abdicated lets others lead.
+const rest = 20 * clock.Second
+
+// Abdicate ends this node's reign at once and leaves the next to others.
+func (e *Elector) Abdicate() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leading && e.quit != nil {
+		close(e.quit)
+		e.quit = nil
+		e.resting = e.ck.Now() + rest
+	}
 }
 
 // New makes an Elector.
@@ -105,11 +121,22 @@
 		}
 		e.log.Info("leading", "warrant", reign.Warrant)
 		rctx, cancel := context.WithCancel(ctx)
+		e.mu.Lock()
+		quit := make(chan struct{})
+		e.quit = quit
+		e.mu.Unlock()
+		go func() {
+			select {
+			case <-quit:
+				cancel()
+			case <-rctx.Done():
+			}
+		}()
 		done := make(chan struct{})
 		go func() { defer close(done); serve(rctx, reign) }()
 		e.keep(rctx)
 		e.mu.Lock()
-		e.leading = false
+		e.leading, e.quit = false, nil
 		hold := e.hold
 		e.leader = ""
 		e.mu.Unlock()
@@ -171,6 +198,13 @@
 	if ctx.Err() != nil {
 		return Reign{}, ctx.Err()
 	}
+	e.mu.Lock()
+	wait := e.resting - e.ck.Now()
+	e.mu.Unlock()
+	if wait > 0 {
+		e.pause(ctx, min(wait, clock.Second))
+		return Reign{}, errors.New("resting after an abdication")
+	}
 	asked := e.ck.Now()
 	hold, err := e.st.Grant(ctx, e.ttl)
 	if err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,7 +9,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"sync"
 	"time"
 )
 
@@ -17,6 +16,10 @@
 type Ask struct {
 	Attest bool   // does the state service refuse you, right now?
 	Count  string // how many tasks of this job are done and running? Only the leader knows.
+	// A user's request that the asker can't serve because the state service
+	// refuses it alone: answered as if it had come here.
+	Method, Path string
+	Body         []byte
 }
 
 // Reply is its answer.
@@ -24,12 +27,14 @@
 	Refused       bool
 	Known         bool
 	Done, Running int
+	Status        int
+	Body          []byte
 }
 
 // Limits on what a stranger can make this node hold.
 const (
 	maxConns   = 32
-	maxMessage = 64 << 10
+	maxMessage = 80 << 10
 	idleLimit  = 60 * time.Second
 )
 
@@ -102,7 +107,7 @@
 type Link struct {
 	addr string
 
-	mu   sync.Mutex // one question at a time; guards the connection
+	turn chan struct{} // one question at a time: holds the right to the connection
 	conn net.Conn
 	in   *limited
 	enc  *gob.Encoder
@@ -110,13 +115,15 @@
 }
 
 // NewLink makes a Link that is not yet connected.
-func NewLink(addr string) *Link { return &Link{addr: addr} }
+func NewLink(addr string) *Link { return &Link{addr: addr, turn: make(chan struct{}, 1)} }
 
-// Ask sends a question and waits for its reply until ctx's deadline. The lock
-// is the connection's turn, not shared state: nothing else waits on it.
+// Ask sends a question and waits for its turn and its reply until ctx's deadline.
 func (l *Link) Ask(ctx context.Context, a Ask) (Reply, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+	}
 	if err := ctx.Err(); err != nil {
 		return Reply{}, fmt.Errorf("ask %s: %w", l.addr, err)
 	}
--- a/service.go
+++ b/service.go
@@ -4,6 +4,7 @@
 package cedardoor
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -37,10 +38,14 @@
 	workers *agent.Client
 	cl      *cloud.Client
 	users   *api.Users
-	links   map[string]*peer.Link
+	links   map[string]*peer.Link // for attestations, which must not wait
+	relays  map[string]*peer.Link // for users' requests and counts
 	log     *slog.Logger
 	met     *Metrics
 	reign   atomic.Pointer[reign]
+	front   *chi.Mux
+	// relayAfter is when relaying is worth trying again, on the steady clock.
+	relayAfter atomic.Int64
 
 	catMu sync.Mutex // guards cat and catAt
 	cat   wire.Catalog
@@ -53,16 +58,22 @@
 }
 
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
-	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}}
+	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}}
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, len(cfg.Others)+1)
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
 	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/4))
 	for _, o := range cfg.Others {
 		s.links[o.Node] = peer.NewLink(o.Addr)
+		s.relays[o.Node] = peer.NewLink(o.Addr)
 	}
 	s.el = lead.New(cfg.Node, s.st, s.ck, op, s.attest, log)
 	s.users = &api.Users{Store: s.st, Clock: s.ck, Node: cfg.Node, Teams: f.Teams, Catalog: s.catalog, Count: s.count, Log: log, Observe: s.met.Submission}
+	if len(s.links) > 0 {
+		s.users.Relay = s.relay
+	}
+	s.front = chi.NewRouter()
+	s.users.Routes(s.front)
 	return s
 }
 
@@ -79,10 +90,8 @@
 		front.Close()
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	r := chi.NewRouter()
-	s.users.Routes(r)
-	r.Post(wire.PathBeat, agent.ServeBeat(s))
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
+	s.front.Post(wire.PathBeat, agent.ServeBeat(s))
+	srv := &http.Server{Handler: s.front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
 		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	var wg sync.WaitGroup
 	failed := make(chan error, 2)
@@ -156,9 +165,47 @@
 			r.Done, r.Running, r.Known = g.counts(a.Count)
 		}
 	}
+	if a.Path != "" && !s.st.Failing() {
+		req, err := http.NewRequestWithContext(api.Relayed(ctx), a.Method, a.Path, bytes.NewReader(a.Body))
+		if err != nil {
+			return r
+		}
+		k := api.NewKept()
+		s.front.ServeHTTP(k, req)
+		r.Status, r.Body = k.Status, k.Body.Bytes()
+	}
 	return r
 }
 
+// relay asks the other controllers at once to serve a user's request, and
+// takes the first answer that is one. In an outage none can, and after a round
+// of refusals none is asked for a moment.
+func (s *Service) relay(ctx context.Context, method, path string, body []byte) (int, []byte, bool) {
+	now := s.ck.Now()
+	if now < clock.Micros(s.relayAfter.Load()) {
+		return 0, nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+	defer cancel()
+	answers := make(chan peer.Reply, len(s.relays))
+	for _, l := range s.relays {
+		go func() {
+			r, err := l.Ask(ctx, peer.Ask{Method: method, Path: path, Body: body})
+			if err != nil {
+				r = peer.Reply{}
+			}
+			answers <- r
+		}()
+	}
+	for range s.relays {
+		if r := <-answers; r.Status != 0 && r.Status != http.StatusServiceUnavailable {
+			return r.Status, r.Body, true
+		}
+	}
+	s.relayAfter.Store(int64(s.ck.Now() + clock.Second))
+	return 0, nil, false
+}
+
 // attest asks every other controller whether the state service refuses it too.
 // Only when all say so, freshly, can nobody else be leading.
 func (s *Service) attest(ctx context.Context) bool {
@@ -185,7 +232,7 @@
 		done, running, _ = g.counts(uid)
 		return done, running
 	}
-	l := s.links[s.el.Leader()]
+	l := s.relays[s.el.Leader()]
 	if l == nil {
 		return 0, 0
 	}
--- a/silent.go
+++ b/silent.go
@@ -5,6 +5,7 @@
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
+	"cedardoor/wire"
 )
 
 // probeTimeout is how long a silent worker may take to answer.
@@ -84,3 +85,28 @@
 		g.giveBack(ctx, []string{m.Name})
 	}
 }
+
+// deafReports is how many report intervals without any beat make a leader
+// believe that it is cut off from the workers.
+const deafReports = 3
+
+// abdicate gives leadership up when no worker at all is heard any more: this
+// node may be cut off from them while another is not. If nobody hears them,
+// leadership goes round, which harms nothing.
+func (g *reign) abdicate() {
+	now := g.ck.Now()
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
+	g.mu.Lock()
+	expected := 0
+	for _, m := range g.fl.Machines() {
+		if m.Beaten || len(m.Bookings) > 0 || m.Listed == wire.HostRunning {
+			expected++
+		}
+	}
+	deaf := expected >= 2 && now-max(g.heard, g.r.Since) > deafReports*report+clock.Second
+	g.mu.Unlock()
+	if deaf {
+		g.log.Info("no worker is heard: giving leadership up", "expected", expected)
+		g.el.Abdicate()
+	}
+}
--- a/step.go
+++ b/step.go
@@ -62,6 +62,7 @@
 	}
 	g.dispatch(ctx)
 	g.probeSilent(ctx)
+	g.abdicate()
 	g.fence(ctx)
 }
 
@@ -454,7 +455,7 @@
 	w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(j.uid), Stamp: j.stamp})
 	w.txn.Apply = append(w.txn.Apply,
 		wire.Apply{Delete: store.JobKey(j.uid)},
-		wire.Apply{Set: store.OverKey(j.uid), Value: store.OverRecord{Status: wire.JobDone, Pieces: len(j.pieces), Nonce: w.nonce}})
+		wire.Apply{Set: store.OverKey(j.uid), Value: store.Over(&j.spec, wire.JobDone, w.nonce)})
 	w.over = append(w.over, j)
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cedardoor/clock"
@@ -61,8 +62,12 @@
 	requests *rate.Limiter
 	writes   *rate.Limiter
 	timeout  time.Duration
+	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
 
+// Failing tells whether the service has answered none of the last requests.
+func (c *Client) Failing() bool { return c.failing.Load() >= 2 }
+
 // New makes a Client. The limits are the whole service's, so each node plans
 // with a share of them; the leader, which writes most, is given more by Lead.
 func New(addr string, limits config.State, nodes int) *Client {
@@ -128,6 +133,13 @@
 		req.GetBody = nil
 	}
 	resp, err := hc.Do(req)
+	if err != nil || resp.StatusCode == http.StatusServiceUnavailable {
+		if hc == c.http && !errors.Is(ctx.Err(), context.Canceled) {
+			c.failing.Add(1)
+		}
+	} else if hc == c.http {
+		c.failing.Store(0)
+	}
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
--- a/store/records.go
+++ b/store/records.go
@@ -66,11 +66,21 @@
 	Lanes map[string][2]int64 `msgpack:"l"`
 }
 
-// OverRecord is a job's final state.
+// OverRecord is a job's final state, with what its tasks take: some may still
+// be on their machines, and count for room and for their team's limit.
 type OverRecord struct {
-	Status string `msgpack:"s"`
-	Pieces int    `msgpack:"p"`
-	Nonce  string `msgpack:"w"`
+	Status string  `msgpack:"s"`
+	Pieces int     `msgpack:"p"`
+	Nonce  string  `msgpack:"w"`
+	Owner  string  `msgpack:"o"`
+	Cores  float64 `msgpack:"c"`
+	Accel  float64 `msgpack:"a"`
+	RAM    float64 `msgpack:"r"`
+}
+
+// Over makes the final record of a job.
+func Over(s *wire.Spec, status, nonce string) OverRecord {
+	return OverRecord{Status: status, Pieces: s.Pieces, Nonce: nonce, Owner: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM}
 }
 
 // Placed is a task's recorded attempt: an empty Host means that it waits.
