--- a/sizing.go
+++ b/sizing.go
@@ -293,12 +293,16 @@
 		}
 	}
 	g.peaks = append(g.peaks, peak{now, need.Ordinary.Cores, need.Loaned.Cores, need.Ordinary.Cores*(1+need.Reserve) + need.Growth})
-	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(f.HoldS) {
+	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(max(f.HoldS, f.HoldOrdinaryS)) {
 		g.peaks = g.peaks[1:]
 	}
 	for _, p := range g.peaks {
-		need.Hold = max(need.Hold, p.cores)
-		need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
+		if now-p.at <= clock.FromSeconds(f.HoldS) {
+			need.Hold = max(need.Hold, p.cores)
+		}
+		if now-p.at <= clock.FromSeconds(f.HoldOrdinaryS) {
+			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
+		}
 	}
 	need.Keep = now-g.r.Since < 15*clock.Second
 	return need
