--- a/metrics.go
+++ b/metrics.go
@@ -80,6 +80,13 @@
 	m.gauges["waiting_tasks"] = int64(n)
 }
 
+// Fleet notes what the leader holds.
+func (m *Metrics) Fleet(machines, bookings, refused int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges["machines"], m.gauges["bookings"], m.gauges["refused_offers"] = int64(machines), int64(bookings), int64(refused)
+}
+
 // Handler serves the figures.
 func (m *Metrics) Handler() http.Handler {
 	r := chi.NewRouter()
--- a/sizing.go
+++ b/sizing.go
@@ -400,6 +400,11 @@
 		_, no := g.refused[refusedKey(build, yard, loaned)]
 		return no
 	}
+	live := 0
+	for _, h := range held {
+		live += h.Live
+	}
+	g.met.Fleet(len(held), live, len(g.refused))
 	need := g.demand(now)
 	v := cloud.Size(g.catalog.Builds, held, need, refused)
 	for _, name := range v.Cordon {
