--- a/engine_test.go
+++ b/engine_test.go
@@ -802,3 +802,45 @@
 		t.Fatalf("%d tasks after the cancelled ones were gone", got)
 	}
 }
+
+// A machine that hung before the leaders changed is returned by the new one,
+// so that its replica does not wait out a lease with every leader.
+func TestHungMachineAcrossLeaders(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", false)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Shape, sp.Rank, sp.Loaned = wire.ShapeStanding, "critical", false }))
+	s.resync(ga)
+	s.settle(ga)
+	stop()
+	gb, _ := s.elect(b)
+	other := s.worker("n-2", "y", false)
+	g := gb
+	g.mu.Lock()
+	g.fl.Machine("n-1").Endpoint = "127.0.0.1:1" // nobody answers there
+	g.mu.Unlock()
+	for range 3 {
+		s.advance(3 * time.Second)
+		beat(t, gb, other)
+	}
+	for range deafAfter {
+		g.probeSilent(t.Context())
+		for probing := true; probing; runtime.Gosched() {
+			g.mu.Lock()
+			m := g.fl.Machine("n-1")
+			probing = m != nil && m.Probing
+			g.mu.Unlock()
+		}
+	}
+	for gone := false; !gone; runtime.Gosched() {
+		g.mu.Lock()
+		gone = g.fl.Machine("n-1") == nil
+		g.mu.Unlock()
+	}
+	s.settle(gb)
+	if got := other.Starts(); len(got) != 1 {
+		t.Errorf("replica not replaced: %v", got)
+	}
+}
--- a/silent.go
+++ b/silent.go
@@ -31,7 +31,13 @@
 	heard := 0
 	for _, m := range g.fl.Machines() {
 		switch {
-		case !m.Beaten || m.Returning:
+		case m.Returning:
+		case !m.Beaten:
+			// Recorded by a predecessor, and silent since: with leaders changing, each
+			// would wait out a whole lease anew.
+			if m.Endpoint != "" && now-g.r.Since > 2*report+2*clock.Second && !m.Lapsed(now) {
+				silent = append(silent, m)
+			}
 		case now-m.LastBeat <= report+report/2+200*clock.Millisecond:
 			heard++
 		case !m.Lapsed(now):
