--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,15 +3,13 @@
 package agent
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"time"
 
+	"cedardoor/clock"
+	"cedardoor/internal/link"
 	"cedardoor/wire"
 )
 
@@ -20,74 +18,40 @@
 
 // NewClient makes a Client that keeps at most conns connections open.
 func NewClient(conns int) *Client {
-	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxConnsPerHost:     1,
-			MaxIdleConnsPerHost: 1,
-			MaxIdleConns:        conns,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{http: link.Client(clock.Second, 1, conns)}
 }
 
+// maxReport bounds a worker's answer.
+const maxReport = 4 << 20
+
 // Do sends commands. definite is false when the worker may have executed them
 // or may still do so; rep is the worker's report, if it gave one.
 func (c *Client) Do(ctx context.Context, endpoint string, do wire.Do) (rep *wire.Beat, definite bool, err error) {
-	raw, err := wire.Marshal(do)
-	if err != nil {
-		return nil, true, fmt.Errorf("encode commands: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+wire.PathDo, bytes.NewReader(raw))
-	if err != nil {
-		return nil, true, fmt.Errorf("commands to %s: %w", endpoint, err)
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	req.GetBody = nil // never repeated behind the books' back
-	resp, err := c.http.Do(req)
-	if err != nil {
-		var op *net.OpError
-		// A connection attempt that was given up does not complete later.
-		dial := errors.As(err, &op) && op.Op == "dial"
-		return nil, dial, fmt.Errorf("commands to %s: %w", endpoint, err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+	status, body, err := link.Call(ctx, c.http, http.MethodPost, "http://"+endpoint+wire.PathDo, do, maxReport)
 	if err != nil {
-		return nil, false, fmt.Errorf("commands to %s: %w", endpoint, err)
+		return nil, link.NotSent(err), fmt.Errorf("commands to %s: %w", endpoint, err)
 	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK, http.StatusConflict:
 		b, err := wire.DecodeBeat(body)
 		if err != nil {
-			return nil, resp.StatusCode == http.StatusConflict, fmt.Errorf("report of %s: %w", endpoint, err)
+			return nil, status == http.StatusConflict, fmt.Errorf("report of %s: %w", endpoint, err)
 		}
 		return &b, true, nil
 	case http.StatusBadRequest:
 		return nil, true, fmt.Errorf("commands to %s: refused as malformed", endpoint)
 	}
-	return nil, false, fmt.Errorf("commands to %s: status %d", endpoint, resp.StatusCode)
+	return nil, false, fmt.Errorf("commands to %s: status %d", endpoint, status)
 }
 
 // Show asks a worker for its report.
 func (c *Client) Show(ctx context.Context, endpoint string) (*wire.Beat, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint+wire.PathShow, nil)
-	if err != nil {
-		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+	status, body, err := link.Call(ctx, c.http, http.MethodGet, "http://"+endpoint+wire.PathShow, nil, maxReport)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("ask %s: status %d", endpoint, resp.StatusCode)
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("ask %s: status %d", endpoint, status)
 	}
 	b, err := wire.DecodeBeat(body)
 	if err != nil {
--- a/api/api.go
+++ b/api/api.go
@@ -36,8 +36,8 @@
 	// Count tells how many tasks of a job are done and running, for display.
 	Count func(ctx context.Context, uid string) (done, running int)
 	Log   *slog.Logger
-	// Accepted and Refused, if set, are told of each submission's outcome.
-	Observe func(kind string, took clock.Micros, status int)
+	// Observe, if set, is told of each submission's answer.
+	Observe func(took clock.Micros, status int)
 
 	// Relay passes a request to another controller and gives its answer, unless
 	// none could serve it.
@@ -198,7 +198,7 @@
 	began := u.Clock.Now()
 	status := u.trySubmit(w, r)
 	if u.Observe != nil {
-		u.Observe("submit", u.Clock.Now()-began, status)
+		u.Observe(u.Clock.Now()-began, status)
 	}
 }
 
--- a/cloud/client.go
+++ b/cloud/client.go
@@ -2,16 +2,15 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"cedardoor/clock"
+	"cedardoor/internal/link"
 	"cedardoor/wire"
 
 	"golang.org/x/time/rate"
@@ -33,16 +32,7 @@
 // New makes a Client that stays within the given requests per second.
 func New(addr string, rps float64) *Client {
 	return &Client{base: "http://" + addr, limit: rate.NewLimiter(rate.Limit(rps*0.75), max(1, int(rps))),
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-				MaxConnsPerHost:     4,
-				MaxIdleConnsPerHost: 4,
-				IdleConnTimeout:     60 * time.Second,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}}
+		http: link.Client(2*clock.Second, 4, 0)}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, out any) error {
@@ -51,40 +41,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	var payload io.Reader
-	if body != nil {
-		raw, err := wire.Marshal(body)
-		if err != nil {
-			return fmt.Errorf("encode request: %w", err)
-		}
-		payload = bytes.NewReader(raw)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
-	if err != nil {
-		return fmt.Errorf("cloud request: %w", err)
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-	}
-	resp, err := c.http.Do(req)
+	const bound = 4 << 20
+	status, raw, err := link.Call(ctx, c.http, method, c.base+path, body, bound)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer resp.Body.Close()
-	const most = 4 << 20
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	if len(raw) > most {
-		return fmt.Errorf("%w: answer too large", ErrUnavailable)
-	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		var e wire.Error
-		if resp.StatusCode == http.StatusServiceUnavailable && wire.Unmarshal(raw, &e) == nil && e.Error == "no capacity" {
+		if status == http.StatusServiceUnavailable && wire.Unmarshal(raw, &e) == nil && e.Error == "no capacity" {
 			return ErrNoCapacity
 		}
-		return fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
 	}
 	if out == nil {
 		return nil
--- a/engine.go
+++ b/engine.go
@@ -61,8 +61,6 @@
 	chunks    []chunk
 	started   bool
 	failedOn  map[string]bool // machines on which tasks of it failed
-	zones     map[string]int  // tasks that may exist
-	machines  map[string]int
 	ran       runStat
 	counted   bool // its work is among the arrivals
 }
@@ -113,7 +111,6 @@
 	catalog  wire.Catalog
 	catStamp uint64
 	busy     map[string]bool // machines with a /do in flight
-	orders   int64
 	seq      uint64
 	teams    map[string]config.Team
 	repairAt clock.Micros
@@ -332,7 +329,6 @@
 		return nil
 	}
 	rank, _ := wire.RankOf(s.Rank)
-	g.orders++
 	j := &job{uid: s.UID, spec: s, rank: rank, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
 		pieces: make([]piece, s.Pieces), waiting: make([]int, s.Pieces),
 		chunks:   make([]chunk, (s.Pieces+store.ChunkPieces-1)/store.ChunkPieces),
--- a/engine_test.go
+++ b/engine_test.go
@@ -144,6 +144,17 @@
 	return rec.Code, v, rec.Header()
 }
 
+// alone is a site with one leading node and a worker that has reported.
+func alone(t *testing.T) (*site, *Service, *reign, *standin.Worker) {
+	t.Helper()
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	return s, n, g, w
+}
+
 func spec(uid string, mod func(*wire.Spec)) wire.Spec {
 	sp := wire.Spec{UID: uid, Lane: "lane", Owner: "team", Shape: wire.ShapeBatch, Rank: "standard", Pieces: 1, Cores: 2, RAM: 4,
 		Bundle: "img", ImageGB: 1, Loaned: true, ExpectS: 10}
@@ -223,11 +234,7 @@
 }
 
 func TestJobRunsToDone(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.resync(g)
 	s.settle(g)
@@ -261,11 +268,7 @@
 }
 
 func TestResultDurableBeforeForget(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.resync(g)
 	s.settle(g)
@@ -280,11 +283,8 @@
 // A run sent directly may arrive minutes after it was given up. The task must
 // not be started elsewhere, nor its room given away, before that is ruled out.
 func TestLateDirectRunAfterCancelOfMachine(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
+	other := s.worker("n-2", "y", true)
 	w.KeepNext()
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
@@ -327,11 +327,7 @@
 
 // A forget must not go out while a copy of the run may: the worker would start it again.
 func TestNoForgetWhileCopyIsOut(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	w.KeepNext()
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
@@ -438,11 +434,7 @@
 
 // A transaction whose answer was lost is settled by its nonce, not done twice.
 func TestLostCommitAnswer(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
 	s.state.LoseAnswers(1)
@@ -488,11 +480,7 @@
 }
 
 func TestCancelStopsRunningTasks(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
 	s.settle(g)
@@ -579,11 +567,7 @@
 }
 
 func TestBeatWithoutHold(t *testing.T) {
-	s := newSite(t)
-	n := s.node(nil)
-	g, _ := s.elect(n)
-	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	s, n, g, w := alone(t)
 	s.state.Refuse(n.cfg.Node, true)
 	s.clk.Advance(6 * time.Second)
 	rep := w.Report()
--- a/metrics.go
+++ b/metrics.go
@@ -1,6 +1,7 @@
 package cedardoor
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync"
 
@@ -8,8 +9,6 @@
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-chi/chi/v5"
-
-	"encoding/json"
 )
 
 // Metrics are the daemon's figures, served as JSON where operators ask for them.
@@ -34,7 +33,7 @@
 }
 
 // Submission notes a submission's answer.
-func (m *Metrics) Submission(_ string, took clock.Micros, status int) {
+func (m *Metrics) Submission(took clock.Micros, status int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.record(m.accept, took)
--- a/service.go
+++ b/service.go
@@ -60,7 +60,7 @@
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
 	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}}
 	f := cfg.Facts
-	s.st = store.New(cfg.Outside.State, f.State, len(cfg.Others)+1)
+	s.st = store.New(cfg.Outside.State, f.State)
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
 	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/4))
 	for _, o := range cfg.Others {
--- a/store/client.go
+++ b/store/client.go
@@ -3,12 +3,9 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +14,7 @@
 
 	"cedardoor/clock"
 	"cedardoor/config"
+	"cedardoor/internal/link"
 	"cedardoor/wire"
 
 	"golang.org/x/time/rate"
@@ -70,20 +68,9 @@
 
 // New makes a Client. The limits are the whole service's, so each node plans
 // with a share of them; the leader, which writes most, is given more by Lead.
-func New(addr string, limits config.State, nodes int) *Client {
-	tr := func(conns int) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: 1500 * time.Millisecond}).DialContext,
-				MaxConnsPerHost:     conns,
-				MaxIdleConnsPerHost: conns,
-				IdleConnTimeout:     60 * time.Second,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
-	}
-	c := &Client{base: "http://" + addr, http: tr(24), watch: tr(4), timeout: 2 * time.Second}
+func New(addr string, limits config.State) *Client {
+	const dial = 1500 * clock.Millisecond
+	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second}
 	c.requests = rate.NewLimiter(rate.Limit(limits.RPS*0.3), max(2, int(limits.RPS*0.25)))
 	c.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS*0.5), max(limits.TxnOps, int(limits.WriteRPS*0.5)))
 	return c
@@ -115,51 +102,25 @@
 
 // call sends one request and gives the status and body of its answer.
 func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, body any) (int, []byte, error) {
-	var payload io.Reader
-	if body != nil {
-		raw, err := wire.Marshal(body)
-		if err != nil {
-			return 0, nil, fmt.Errorf("encode request: %w", err)
-		}
-		payload = bytes.NewReader(raw)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
-	if err != nil {
-		return 0, nil, fmt.Errorf("state request: %w", err)
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-		// A request that may have been executed is never repeated behind the caller's back.
-		req.GetBody = nil
-	}
-	resp, err := hc.Do(req)
-	if err != nil || resp.StatusCode == http.StatusServiceUnavailable {
-		if hc == c.http && !errors.Is(ctx.Err(), context.Canceled) {
+	status, raw, err := link.Call(ctx, hc, method, c.base+path, body, maxAnswer)
+	if hc == c.http {
+		if err == nil && status != http.StatusServiceUnavailable {
+			c.failing.Store(0)
+		} else if !errors.Is(ctx.Err(), context.Canceled) {
 			c.failing.Add(1)
 		}
-	} else if hc == c.http {
-		c.failing.Store(0)
 	}
-	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return 0, nil, fmt.Errorf("%w: %w", ErrRefused, err)
-		}
-		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
-	}
-	if len(raw) > maxAnswer {
-		return 0, nil, fmt.Errorf("%w: too large", ErrBadAnswer)
-	}
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return resp.StatusCode, nil, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
-	}
-	return resp.StatusCode, raw, nil
+	switch {
+	case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+		return status, nil, fmt.Errorf("%w: status %d", ErrRefused, status)
+	case err == nil:
+		return status, raw, nil
+	case link.NotSent(err):
+		return 0, nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	case errors.Is(err, link.ErrTooLarge):
+		return 0, nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 }
 
 func decode(raw []byte, v any) error {
