Drain a machine with replicas only when there is clearly too much

Cause: small warm machines were drained as soon as the surplus covered them, and cold ones rented again minutes later; every first replica on those missed its 1 s.

--- a/cloud/size.go
+++ b/cloud/size.go
@@ -184,9 +184,10 @@
 				continue // it would have to be rented again
 			}
 			if h.Standing > 0 {
-				// Its replicas have to be moved: one machine at a time, and not while
-				// another is still being emptied.
-				if moving {
+				// Its replicas have to be moved, and a machine rented in its stead later
+				// would be cold: only when there is clearly too much, one machine at a
+				// time, and not while another is still being emptied.
+				if moving || over-w < 0.12*ordWant {
 					continue
 				}
 				moving = true
