--- a/engine_test.go
+++ b/engine_test.go
@@ -804,6 +804,10 @@
 	g := gb
 	g.mu.Lock()
 	g.fl.Machine("n-1").Endpoint = "127.0.0.1:1" // nobody answers there
+	for i := range 5 {                           // booting machines are not silent ones
+		m := g.fl.Ensure(fmt.Sprintf("n-9%d", i), g.ck.Now()+8*clock.Second)
+		m.Endpoint, m.Build, m.Yard, m.Listed = "127.0.0.1:1", "b", "x", wire.HostBooting
+	}
 	g.mu.Unlock()
 	for range 3 {
 		s.advance(3 * time.Second)
--- a/silent.go
+++ b/silent.go
@@ -9,7 +9,7 @@
 )
 
 // probeTimeout is how long a silent worker may take to answer.
-const probeTimeout = clock.Second
+const probeTimeout = 700 * clock.Millisecond
 
 // deafAfter is how many questions in a row a silent worker must fail to answer.
 const deafAfter = 2
@@ -34,11 +34,12 @@
 		case m.Returning:
 		case !m.Beaten:
 			// Recorded by a predecessor, and silent since: with leaders changing, each
-			// would wait out a whole lease anew.
-			if m.Endpoint != "" && now-g.r.Since > 2*report+2*clock.Second && !m.Lapsed(now) {
+			// would wait out a whole lease anew. Machines that boot hold nothing and
+			// are not silent; counting them once kept a hung one from being returned.
+			if m.Endpoint != "" && len(m.Bookings) > 0 && now-g.r.Since > 2*report+2*clock.Second && !m.Lapsed(now) {
 				silent = append(silent, m)
 			}
-		case now-m.LastBeat <= report+report/2+200*clock.Millisecond:
+		case now-m.LastBeat <= report+report/4+300*clock.Millisecond:
 			heard++
 		case !m.Lapsed(now):
 			silent = append(silent, m)
@@ -52,6 +53,7 @@
 			continue
 		}
 		m.Probing = true
+		g.log.Debug("machine is silent", "host", m.Name, "for", (now - m.LastBeat).Seconds(), "deaf", m.Deaf)
 		go g.probe(ctx, m, m.Endpoint)
 	}
 }
@@ -76,6 +78,7 @@
 	giveUp := false
 	if err == nil && rep.Host == m.Name {
 		m.Deaf = 0
+		g.log.Debug("silent machine answers", "host", m.Name, "tenure", rep.Tenure)
 		news, _ := g.fl.Report(now, rep, false)
 		g.news(news, now)
 	} else if ctx.Err() == nil {
