Hold machines rented for what presses as long as spot machines are held

Cause: ordinary machines rented for a burst were given up as soon as the pressing part dipped, 20 s after they had booted, while the queue stood at 15 jobs.

--- a/cloud/size.go
+++ b/cloud/size.go
@@ -39,6 +39,7 @@
 	Pressing Load
 	// Cores below which nothing is given up: for loaned work, and on ordinary machines.
 	Hold, HoldOrdinary float64
+	HoldPressing       float64 // the same for what presses
 	Keep               bool    // nothing is given up yet: too little is known of the demand
 	Reserve            float64 // share of Ordinary kept free
 	Growth             float64 // cores that Ordinary is about to grow by
@@ -199,7 +200,7 @@
 	}
 	if len(v.Rent) == 0 && !need.Keep {
 		surplus(true, spotHave+spare-max(need.Loaned.Cores, need.Hold), need.Loaned)
-		surplus(false, ordHave-max(ordWant, need.HoldOrdinary)-max(0, need.Pressing.Cores-spotHave), need.Ordinary)
+		surplus(false, ordHave-max(ordWant, need.HoldOrdinary)-max(0, need.Pressing.Cores-spotHave, need.HoldPressing-spotHave), need.Ordinary)
 	}
 	for _, h := range held {
 		if h.Cordoned && h.Up && h.Live == 0 && !slices.Contains(v.Uncordon, h.Name) {
--- a/sizing.go
+++ b/sizing.go
@@ -25,6 +25,7 @@
 	firm     float64 // cores that only ordinary machines may hold
 	cores    float64
 	ordinary float64
+	pressing float64
 }
 
 // hire is a rental that was asked for.
@@ -292,13 +293,14 @@
 			break
 		}
 	}
-	g.peaks = append(g.peaks, peak{now, need.Ordinary.Cores, need.Loaned.Cores, need.Ordinary.Cores*(1+need.Reserve) + need.Growth})
+	g.peaks = append(g.peaks, peak{now, need.Ordinary.Cores, need.Loaned.Cores, need.Ordinary.Cores*(1+need.Reserve) + need.Growth, pressing.Cores})
 	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(max(f.HoldS, f.HoldOrdinaryS)) {
 		g.peaks = g.peaks[1:]
 	}
 	for _, p := range g.peaks {
 		if now-p.at <= clock.FromSeconds(f.HoldS) {
 			need.Hold = max(need.Hold, p.cores)
+			need.HoldPressing = max(need.HoldPressing, p.pressing)
 		}
 		if now-p.at <= clock.FromSeconds(f.HoldOrdinaryS) {
 			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
