--- a/cloud/size.go
+++ b/cloud/size.go
@@ -90,7 +90,15 @@
 	for _, b := range builds {
 		byName[b.SKU] = b
 	}
-	ordWant := need.Ordinary.Cores*(1+need.Reserve) + need.Growth
+	// Any one machine may be lost, and its replicas cannot wait for a boot: the
+	// fullest one's must fit on the others.
+	spareFor := need.Ordinary.Cores * need.Reserve
+	for _, h := range held {
+		if !h.Loaned && !h.Lost && h.Standing > 0 {
+			spareFor = max(spareFor, h.Firm)
+		}
+	}
+	ordWant := need.Ordinary.Cores + spareFor + need.Growth
 	var ordHave, spotHave float64
 	zoneHave := map[string]float64{}
 	for _, h := range held {
--- a/cloud/size_test.go
+++ b/cloud/size_test.go
@@ -88,6 +88,22 @@
 	}
 }
 
+// Losing any one machine must leave room for its replicas on the others.
+func TestRoomForTheFullestMachine(t *testing.T) {
+	held := []Held{
+		{Name: "a", Build: "s", Yard: "x", Up: true, Live: 3, Standing: 3, Firm: 6},
+		{Name: "b", Build: "s", Yard: "y", Up: true, Live: 2, Standing: 2, Firm: 4},
+	}
+	need := Need{Ordinary: Load{Cores: 10, RAM: 10}, Machines: 10}
+	if v := Size(builds, held, need, none); len(v.Rent) != 0 {
+		t.Errorf("rents %v though 6 cores are free", v.Rent)
+	}
+	held[0].Firm, need.Ordinary.Cores = 8, 12
+	if v := Size(builds, held, need, none); len(v.Rent) != 1 {
+		t.Errorf("rents %v with 4 cores free for 8", v.Rent)
+	}
+}
+
 func TestApartNeedsRoomInTwoZones(t *testing.T) {
 	held := []Held{{Name: "a", Build: "l", Yard: "x", Up: true, Standing: 2, Firm: 4}}
 	need := Need{Ordinary: Load{Cores: 4, RAM: 8}, MaxCores: 2, Machines: 10}
