--- a/engine_test.go
+++ b/engine_test.go
@@ -832,3 +832,30 @@
 		t.Errorf("replica not replaced: %v", got)
 	}
 }
+
+// The start of an adopted task was not seen, so its run must not be compared:
+// it once made sound machines look slow.
+func TestAdoptedRunsAreNotMeasured(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	beat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 3 }))
+	s.resync(ga)
+	s.settle(ga)
+	w.End("j-1/0", wire.CauseDone)
+	beat(t, ga, w)
+	if n := ga.jobs["j-1"].ran.n; n != 1 {
+		t.Fatalf("%d runs measured, want the one whose start was seen", n)
+	}
+	s.settle(ga)
+	stop()
+	gb, _ := s.elect(b)
+	beat(t, gb, w)
+	w.End("j-1/1", wire.CauseDone)
+	beat(t, gb, w)
+	if j := gb.jobs["j-1"]; j.done != 2 || j.ran.n != 0 {
+		t.Errorf("done %d, runs measured %d; want 2 and none", j.done, j.ran.n)
+	}
+}
