--- a/cloud/size.go
+++ b/cloud/size.go
@@ -42,6 +42,7 @@
 	HoldPressing       float64 // the same for what presses
 	Keep               bool    // nothing is given up yet: too little is known of the demand
 	Reserve            float64 // share of Ordinary kept free
+	ReserveMachine     float64 // share of Ordinary up to which room for the fullest machine's tasks is kept
 	Growth             float64 // cores that Ordinary is about to grow by
 	Apart              bool    // there are replicas to keep in more than one zone
 	MaxCores           float64
@@ -91,11 +92,11 @@
 		byName[b.SKU] = b
 	}
 	// Any one machine may be lost, and its replicas cannot wait for a boot: the
-	// fullest one's must fit on the others.
+	// fullest one's must fit on the others, as far as that share of the whole allows.
 	spareFor := need.Ordinary.Cores * need.Reserve
 	for _, h := range held {
 		if !h.Loaned && !h.Lost && h.Standing > 0 {
-			spareFor = max(spareFor, h.Firm)
+			spareFor = max(spareFor, min(h.Firm, need.ReserveMachine*need.Ordinary.Cores))
 		}
 	}
 	ordWant := need.Ordinary.Cores + spareFor + need.Growth
--- a/cloud/size_test.go
+++ b/cloud/size_test.go
@@ -94,7 +94,7 @@
 		{Name: "a", Build: "s", Yard: "x", Up: true, Live: 3, Standing: 3, Firm: 6},
 		{Name: "b", Build: "s", Yard: "y", Up: true, Live: 2, Standing: 2, Firm: 4},
 	}
-	need := Need{Ordinary: Load{Cores: 10, RAM: 10}, Machines: 10}
+	need := Need{Ordinary: Load{Cores: 10, RAM: 10}, ReserveMachine: 1, Machines: 10}
 	if v := Size(builds, held, need, none); len(v.Rent) != 0 {
 		t.Errorf("rents %v though 6 cores are free", v.Rent)
 	}
@@ -102,6 +102,10 @@
 	if v := Size(builds, held, need, none); len(v.Rent) != 1 {
 		t.Errorf("rents %v with 4 cores free for 8", v.Rent)
 	}
+	need.ReserveMachine = 0.2
+	if v := Size(builds, held, need, none); len(v.Rent) != 0 {
+		t.Errorf("rents %v though the share kept is 2.4 cores", v.Rent)
+	}
 }
 
 func TestApartNeedsRoomInTwoZones(t *testing.T) {
--- a/config/config.go
+++ b/config/config.go
@@ -180,20 +180,21 @@
 		RenewS float64 `json:"renew_s"`
 	} `json:"lead"`
 	Fleet struct {
-		Enabled       bool    `json:"enabled"`
-		PeriodS       float64 `json:"period_s"`
-		IdleS         float64 `json:"idle_s"`
-		WindowS       float64 `json:"window_s"`
-		Headroom      float64 `json:"headroom"`
-		ReserveOD     float64 `json:"reserve_ordinary"`
-		QueueS        float64 `json:"queue_s"`
-		UrgentS       float64 `json:"urgent_s"`
-		HoldS         float64 `json:"hold_s"`
-		HoldOrdinaryS float64 `json:"hold_ordinary_s"`
-		Patience      float64 `json:"patience"`
-		SilentS       float64 `json:"silent_s"`
-		BootFactor    float64 `json:"boot_factor"`
-		MaxMachines   int     `json:"max_machines"`
+		Enabled        bool    `json:"enabled"`
+		PeriodS        float64 `json:"period_s"`
+		IdleS          float64 `json:"idle_s"`
+		WindowS        float64 `json:"window_s"`
+		Headroom       float64 `json:"headroom"`
+		ReserveOD      float64 `json:"reserve_ordinary"`
+		ReserveMachine float64 `json:"reserve_machine"`
+		QueueS         float64 `json:"queue_s"`
+		UrgentS        float64 `json:"urgent_s"`
+		HoldS          float64 `json:"hold_s"`
+		HoldOrdinaryS  float64 `json:"hold_ordinary_s"`
+		Patience       float64 `json:"patience"`
+		SilentS        float64 `json:"silent_s"`
+		BootFactor     float64 `json:"boot_factor"`
+		MaxMachines    int     `json:"max_machines"`
 	} `json:"fleet"`
 	Plan struct {
 		Sample int `json:"sample"`
