--- a/api/api.go
+++ b/api/api.go
@@ -270,7 +270,7 @@
 		return http.StatusUnprocessableEntity, "unknown team"
 	}
 	n := 1.0
-	if s.Shape == wire.ShapeStanding {
+	if s.Shape == wire.ShapeStanding || s.Shape == wire.ShapeGroup {
 		n = float64(s.Pieces)
 	}
 	if team.CPUsMax > 0 && n*s.Cores > team.CPUsMax+1e-9 || team.AccelMax > 0 && n*s.Accel > team.AccelMax+1e-9 {
--- a/engine.go
+++ b/engine.go
@@ -80,6 +80,9 @@
 
 func (j *job) standing() bool { return j.spec.Shape == wire.ShapeStanding }
 
+// group tells whether the job's tasks run only all together.
+func (j *job) group() bool { return j.spec.Shape == wire.ShapeGroup }
+
 func (j *job) touch(index int) *chunk {
 	c := &j.chunks[index/store.ChunkPieces]
 	c.seq++
@@ -502,7 +505,7 @@
 	switch cause {
 	case wire.CauseError:
 		g.failed(j, pc, m, now)
-	case wire.CauseFull, wire.CauseInUse:
+	case wire.CauseFull, wire.CauseInUse, wire.CauseAlone:
 		pc.notBefore = now + clock.Second
 	case wire.CauseNoSuch:
 		pc.fails++
@@ -518,6 +521,15 @@
 		g.fl.Remove(t, now)
 	}
 	j.waiting = append(j.waiting, b.Piece.Index)
+	if j.group() {
+		// Without this task the others cannot go on: they stop now, and the group
+		// is started again whole.
+		for i := range j.pieces {
+			if o := j.pieces[i].booking; o != nil && !o.Halt {
+				g.halt(j, o, now)
+			}
+		}
+	}
 }
 
 // backoff is how long to wait after the n-th failure in a row.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"cedardoor/clock"
@@ -76,6 +77,8 @@
 	Slack             clock.Micros // time left before it must start to meet its deadline
 	Order             int64        // acceptance order, ties of everything else
 	Started           bool         // some task was started before
+	Group             bool         // its tasks run only all together
+	Left              int          // tasks not done yet
 
 	Zones    map[string]int // tasks that may exist, by zone
 	Machines map[string]int // the same by machine
@@ -195,6 +198,10 @@
 			pl.out.Unplaced[j.UID] += len(w.Indexes)
 			continue
 		}
+		if j.Group {
+			pl.group(w)
+			continue
+		}
 		if j.SamePlace && len(j.Zones) == 0 {
 			pl.gang(w)
 			continue
@@ -268,6 +275,64 @@
 	}
 }
 
+// group places a group whole in one round, or not at all, and only when
+// nothing of it can be anywhere any more.
+func (pl *planner) group(w *Waiting) {
+	j := w.Job
+	if len(w.Indexes) < j.Left || len(j.Zones) > 0 {
+		pl.out.Unplaced[j.UID] += len(w.Indexes)
+		return
+	}
+	zones := []string{""}
+	if j.SamePlace {
+		zones = zones[:0]
+		for _, m := range pl.Machines {
+			if !slices.Contains(zones, m.Yard) {
+				zones = append(zones, m.Yard)
+			}
+		}
+		sort.Strings(zones)
+	}
+	for _, zone := range zones {
+		var on []*Machine
+		for range w.Indexes {
+			m := pl.target(j, zone, nil)
+			if m == nil {
+				break
+			}
+			pl.book(j, m)
+			on = append(on, m)
+		}
+		if len(on) == len(w.Indexes) {
+			for i, m := range on {
+				pl.out.Launch = append(pl.out.Launch, Placement{Task: TaskID{j.UID, w.Indexes[i]}, Machine: m.Name})
+			}
+			return
+		}
+		for _, m := range on {
+			pl.unbook(j, m)
+		}
+	}
+	pl.out.Unplaced[j.UID] += len(w.Indexes)
+}
+
+// unbook takes book back.
+func (pl *planner) unbook(j *Job, m *Machine) {
+	m.Cores += j.Cores
+	m.Accel += j.Accel
+	m.RAM += j.RAM
+	if q := pl.Team[j.Team]; q != nil {
+		q.Cores -= j.Cores
+		q.Accel -= j.Accel
+	}
+	if j.Zones[m.Yard]--; j.Zones[m.Yard] == 0 {
+		delete(j.Zones, m.Yard)
+	}
+	if j.Machines[m.Name]--; j.Machines[m.Name] == 0 {
+		delete(j.Machines, m.Name)
+	}
+}
+
 // fits counts how many tasks of a job a zone can take, up to want.
 func (pl *planner) fits(j *Job, zone string, want int) int {
 	n := 0
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -120,6 +120,29 @@
 	}
 }
 
+func TestGroupWholeOrNotAtAll(t *testing.T) {
+	j := newJob("j-1", 3, 4, 4)
+	j.Group, j.Left = true, 3
+	p := &Picture{Machines: []*Machine{machine("a", "x", 8, 32)}, Waiting: []Waiting{{Job: j, Indexes: indexes(3)}}}
+	if got := Make(p).Launch; len(got) != 0 {
+		t.Fatalf("part of a group launched: %v", got)
+	}
+	if p.Machines[0].Cores != 8 || len(j.Zones) != 0 {
+		t.Errorf("room of a group that was not placed is still booked: %+v", p.Machines[0])
+	}
+	p.Machines = append(p.Machines, machine("b", "y", 4, 32))
+	if got := Make(p).Launch; len(got) != 3 {
+		t.Fatalf("launched %v, want all", got)
+	}
+	// While one task may still exist, the rest waits for it.
+	j = newJob("j-2", 3, 1, 1)
+	j.Group, j.Left, j.Zones["x"] = true, 3, 1
+	p = &Picture{Machines: []*Machine{machine("a", "x", 8, 32)}, Waiting: []Waiting{{Job: j, Indexes: []int{0, 1}}}}
+	if got := Make(p).Launch; len(got) != 0 {
+		t.Fatalf("launched %v beside a task that may exist", got)
+	}
+}
+
 func TestRepairMovesOnlyCandidates(t *testing.T) {
 	a, b := machine("a", "x", 0, 0), machine("b", "x", 8, 32)
 	a.Banned = "sick"
--- a/step.go
+++ b/step.go
@@ -105,7 +105,7 @@
 			s := &j.spec
 			pj = &plan.Job{UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
 				Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Yard: s.Yard, SamePlace: s.SamePlace,
-				Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Started: j.started,
+				Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Started: j.started, Group: j.group(), Left: len(j.pieces) - j.done,
 				Zones: map[string]int{}, Machines: map[string]int{}}
 			if s.DueS != nil {
 				left := clock.Micros(j.at) + clock.FromSeconds(*s.DueS) - g.ck.Wall()
@@ -159,7 +159,7 @@
 				return
 			}
 			pc := &j.pieces[b.Piece.Index]
-			if j.standing() || j.cancelled || pc.booking != b {
+			if j.standing() || j.group() || j.cancelled || pc.booking != b {
 				return
 			}
 			v := plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Rank: j.rank, Cores: b.Cores, Accel: b.Accel, RAM: b.RAM}
@@ -192,7 +192,7 @@
 			}
 			idx = append(idx, i)
 			lost = lost || j.pieces[i].ran
-			if len(idx) >= perPass {
+			if len(idx) >= perPass && !j.group() {
 				break
 			}
 		}
@@ -253,7 +253,7 @@
 	for _, m := range g.fl.Machines() {
 		m.Each(func(b *fleet.Booking) {
 			j := g.jobs[b.Piece.Job]
-			if !b.Live() || b.Halt || j == nil || j.cancelled {
+			if !b.Live() || b.Halt || j == nil || j.cancelled || j.group() {
 				return
 			}
 			pc := &j.pieces[b.Piece.Index]
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -215,7 +215,7 @@
 	switch {
 	case !ValidUID(s.UID):
 		err = errors.New("uid: not a job id")
-	case s.Shape != ShapeBatch && s.Shape != ShapeStanding:
+	case s.Shape != ShapeBatch && s.Shape != ShapeStanding && s.Shape != ShapeGroup:
 		err = errors.New("shape: unknown")
 	case !ranked:
 		err = errors.New("rank: unknown")
@@ -254,7 +254,7 @@
 			return Beat{}, fmt.Errorf("%w: a task without a name", ErrMalformed)
 		}
 		switch p.Status {
-		case PieceFetching, PieceRunning, PieceFlushing, PieceEnded:
+		case PieceFetching, PieceGathering, PieceRunning, PieceFlushing, PieceEnded:
 		default:
 			return Beat{}, fmt.Errorf("%w: task state %q", ErrMalformed, p.Status)
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,6 +31,7 @@
 const (
 	ShapeBatch    = "batch"
 	ShapeStanding = "standing"
+	ShapeGroup    = "group" // an array whose tasks run only all together
 
 	JobQueued    = "queued"
 	JobRunning   = "running"
@@ -41,16 +42,19 @@
 	VerbHalt   = "halt"
 	VerbForget = "forget"
 
-	PieceFetching = "fetching"
-	PieceRunning  = "running"
-	PieceFlushing = "flushing"
-	PieceEnded    = "ended"
+	PieceFetching  = "fetching"
+	PieceGathering = "gathering" // of a group, waiting for the others
+	PieceRunning   = "running"
+	PieceFlushing  = "flushing"
+	PieceEnded     = "ended"
 
 	CauseDone    = "done"
 	CauseStopped = "stopped"
 	CauseError   = "error"
 	CauseFull    = "full"
 	CauseInUse   = "in_use"
+	CausePeers   = "peers" // of a group that lost a task
+	CauseAlone   = "alone" // of a group that did not come together
 	CauseNoSuch  = "no_such"
 
 	HostBooting = "booting"
