--- a/engine.go
+++ b/engine.go
@@ -124,6 +124,7 @@
 	seeded   cloud.Load // the predecessor's rate
 	lanes    map[string]runStat
 	peaks    []peak
+	idleFrom clock.Micros            // since when there has been no work at all
 	gone     map[string]clock.Micros // returned, but the list may still show them
 	pending  map[string]*hire
 	hireSeq  int
--- a/engine_test.go
+++ b/engine_test.go
@@ -859,3 +859,31 @@
 		t.Errorf("done %d, runs measured %d; want 2 and none", j.done, j.ran.n)
 	}
 }
+
+// With no work at all, the machines that were held for more are given back.
+func TestNoWorkGivesMachinesBack(t *testing.T) {
+	s, n, g, w := alone(t)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	g.mu.Lock()
+	g.demand(g.ck.Now())
+	g.mu.Unlock()
+	w.End("j-1/0", wire.CauseDone)
+	beat(t, g, w)
+	s.settle(g)
+	s.advance(20 * time.Second)
+	g.mu.Lock()
+	held := g.demand(g.ck.Now()).Loaned.Cores
+	g.mu.Unlock()
+	if held == 0 {
+		t.Error("nothing is held right after work was there")
+	}
+	s.advance(30 * time.Second)
+	g.mu.Lock()
+	need := g.demand(g.ck.Now())
+	g.mu.Unlock()
+	if need.Loaned.Cores != 0 || need.Hold != 0 || need.HoldOrdinary != 0 {
+		t.Errorf("still held: %+v", need)
+	}
+}
--- a/sizing.go
+++ b/sizing.go
@@ -306,6 +306,16 @@
 			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
 		}
 	}
+	// With no work at all for a while, nothing is held for what might come.
+	if need.Ordinary.Cores > 0 || all.Cores > 0 {
+		g.idleFrom = 0
+	} else if g.idleFrom == 0 {
+		g.idleFrom = now
+	}
+	if g.idleFrom > 0 && now-g.idleFrom > need.Idle {
+		need.Loaned, need.Pressing, need.Growth = cloud.Load{}, cloud.Load{}, 0
+		need.Hold, need.HoldOrdinary, need.HoldPressing = 0, 0, 0
+	}
 	need.Keep = now-g.r.Since < 15*clock.Second
 	return need
 }
