--- a/engine.go
+++ b/engine.go
@@ -14,6 +14,7 @@
 	"cedardoor/config"
 	"cedardoor/fleet"
 	"cedardoor/lead"
+	"cedardoor/plan"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -63,6 +64,8 @@
 	failedOn  map[string]bool // machines on which tasks of it failed
 	ran       runStat
 	counted   bool // its work is among the arrivals
+	running   int  // tasks now running
+	pj        *plan.Job
 }
 
 // runStat is what is known of how long a job's tasks run.
@@ -110,7 +113,23 @@
 	loaded   bool
 	fl       *fleet.Fleet
 	jobs     map[string]*job
-	dirty    map[string]bool // jobs with something to record
+	dirty    map[string]bool         // jobs with something to record now
+	lazy     map[string]clock.Micros // jobs with results to record, and by when
+	queue    map[*job]bool           // jobs with tasks that wait
+	pic      *plan.Picture           // kept up to date from what was touched
+	touched  map[*fleet.Machine]bool // machines that the picture is behind on
+	toTell   map[*fleet.Machine]bool // machines with orders that should not wait for a beat
+	unheard  map[*fleet.Machine]bool // recorded by a predecessor, and silent since
+	holds    map[string]string       // machines whose room is kept for a job
+	fresh    bool                    // jobs came that no plan has seen
+	hushAt   clock.Micros
+	probedAt clock.Micros
+	ctx      context.Context // the reign's, for questions that a report raises; nil before it runs
+	triedAt  clock.Micros    // the last plan
+	entitled clock.Micros
+	probes   int
+	probed   map[string]clock.Micros // machines asked because of an old report, and when
+	deaf     int                     // machines banned as deaf
 	catalog  wire.Catalog
 	catStamp uint64
 	busy     map[string]bool // machines with a /do in flight
@@ -125,7 +144,8 @@
 	lanes    map[string]runStat
 	peaks    []peak
 	idleFrom clock.Micros            // since when there has been no work at all
-	gone     map[string]clock.Micros // returned, but the list may still show them
+	gone     map[string]clock.Micros // returned: whatever still speaks of them is old
+	goneList []string                // the same, oldest first
 	pending  map[string]*hire
 	hireSeq  int
 	refused  map[string]clock.Micros
@@ -142,13 +162,52 @@
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
+		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
+		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, probed: map[string]clock.Micros{},
 	}
+	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
 	for _, t := range s.cfg.Facts.Teams {
 		g.teams[t.Name] = t
+		g.pic.Team[t.Name] = &plan.Quota{CoresMax: t.CPUsMax, AccelMax: t.AccelMax, CoresMin: t.CPUs, AccelMin: t.Accel}
 	}
+	g.fl.Touched = func(m *fleet.Machine) { g.touched[m] = true }
+	g.fl.Room = g.room
 	return g
 }
 
+// room keeps the counts that the rules look at: of a job's tasks by zone and
+// machine, and of its team's use. The caller holds mu.
+func (g *reign) room(b *fleet.Booking, yard string, sign int) {
+	j, ok := b.Tag.(*job)
+	if !ok {
+		return
+	}
+	j.pj.Count(yard, b.Machine.Name, sign)
+	if q := g.pic.Team[j.spec.Owner]; q != nil {
+		q.Cores += float64(sign) * b.Cores
+		q.Accel += float64(sign) * b.Accel
+	}
+}
+
+// wait puts a task among those that wait. The caller holds mu.
+func (g *reign) wait(j *job, index int) {
+	j.waiting = append(j.waiting, index)
+	g.queue[j] = true
+}
+
+// resultsWithin is how long results may wait to be recorded together: the
+// state service takes so many changes a second, and placements come first.
+func (g *reign) resultsWithin() clock.Micros {
+	return min(3*clock.Second, clock.FromSeconds(60/g.cfg.Facts.State.WriteRPS))
+}
+
+// later marks results to be recorded with others. The caller holds mu.
+func (g *reign) later(j *job, now clock.Micros) {
+	if _, due := g.lazy[j.uid]; !due && !g.dirty[j.uid] {
+		g.lazy[j.uid] = now + g.resultsWithin()
+	}
+}
+
 // wake asks the loop for a pass soon.
 func (g *reign) wake() {
 	select {
@@ -159,6 +218,9 @@
 
 // run leads until ctx ends.
 func (g *reign) run(ctx context.Context) error {
+	g.mu.Lock()
+	g.ctx = ctx
+	g.mu.Unlock()
 	epoch, err := g.load(ctx)
 	if err != nil {
 		return fmt.Errorf("load records: %w", err)
@@ -250,6 +312,7 @@
 		if j == nil {
 			// Over, but its tasks were not all known to be gone.
 			j = &job{uid: uid, spec: left[uid], cancelled: true, failedOn: map[string]bool{}}
+			j.pj = g.planJob(j)
 			g.jobs[uid] = j
 		}
 		for len(j.chunks) <= n {
@@ -281,6 +344,7 @@
 				continue
 			}
 			m := g.fl.Ensure(p.Host, now)
+			g.unheard[m] = true
 			m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(fleet.Drift)+clock.Second)
 			b := g.booking(j, base+p.Index, p.Try)
 			b.Tenure = p.Tenure
@@ -298,9 +362,10 @@
 			continue
 		}
 		j.waiting = j.waiting[:0]
+		delete(g.queue, j)
 		for i := range j.pieces {
 			if j.pieces[i].state == pieceWaiting {
-				j.waiting = append(j.waiting, i)
+				g.wait(j, i)
 			}
 		}
 		if j.done == len(j.pieces) {
@@ -314,7 +379,7 @@
 
 func (g *reign) booking(j *job, index int, try uint64) *fleet.Booking {
 	s := &j.spec
-	return &fleet.Booking{Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
+	return &fleet.Booking{Tag: j, Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
 		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0}
 }
 
@@ -340,10 +405,25 @@
 	for i := range j.waiting {
 		j.waiting[i] = i
 	}
+	j.pj = g.planJob(j)
 	g.jobs[s.UID] = j
+	g.queue[j] = true
+	g.fresh = true
 	return nil
 }
 
+// planJob is the job as the planner sees it; its counts follow the bookings.
+func (g *reign) planJob(j *job) *plan.Job {
+	s := &j.spec
+	return &plan.Job{UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
+		Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Yard: s.Yard, SamePlace: s.SamePlace,
+		Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Group: j.group(), Slack: noSlack,
+		Zones: map[string]int{}, Machines: map[string]int{}}
+}
+
+// noSlack is the slack of a job without a deadline.
+const noSlack = 1 << 60
+
 // watchJobs follows the job records: other nodes accept and cancel jobs there.
 func (g *reign) watchJobs(ctx context.Context, since uint64) {
 	for ctx.Err() == nil {
@@ -421,14 +501,20 @@
 	}
 	j.cancelled = true
 	j.waiting = nil
+	delete(g.queue, j)
 	for i := range j.pieces {
 		pc := &j.pieces[i]
 		if pc.target != nil {
 			g.fl.Remove(pc.target, now)
 			pc.target = nil
 		}
-		if pc.booking != nil && g.fl.Stop(pc.booking, 0, now) {
+		if pc.booking == nil {
+			continue
+		}
+		if g.fl.Stop(pc.booking, 0, now) {
 			unplace(pc)
+		} else {
+			g.toTell[pc.booking.Machine] = true
 		}
 	}
 	g.dirty[j.uid] = true
@@ -463,6 +549,7 @@
 		if n.Started {
 			pc.ran = true
 			j.started = true
+			j.running++
 			g.met.Start(now - j.seen)
 			g.log.Debug("task started", "piece", b.Piece.String(), "lane", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
 				"placed", (b.Since - j.seen).Seconds(), "fetch", (now - b.Since).Seconds())
@@ -475,12 +562,16 @@
 // ended takes in the end of a task's attempt. The caller holds mu.
 func (g *reign) ended(j *job, pc *piece, b *fleet.Booking, gone bool, now clock.Micros) {
 	unplace(pc)
+	if b.Running > 0 {
+		j.running--
+	}
 	c := j.touch(b.Piece.Index)
-	g.dirty[j.uid] = true
 	if j.cancelled {
+		g.dirty[j.uid] = true
 		b.Settled = true
 		return
 	}
+	g.later(j, now)
 	c.ending = append(c.ending, b)
 	m := b.Machine
 	cause := b.Cause
@@ -494,6 +585,9 @@
 		}
 		pc.state = pieceDone
 		j.done++
+		if j.done == len(j.pieces) {
+			g.dirty[j.uid] = true
+		}
 		m.Strikes = 0
 		// The start of an adopted attempt was not seen: it would look short, and
 		// every other machine slow beside it.
@@ -517,11 +611,12 @@
 		pc.target = nil
 		if !t.Ended && t.Tenure == t.Machine.Tenure && t.Machine.Banned == "" {
 			pc.state, pc.booking, pc.try = piecePlaced, t, t.Try
+			g.dirty[j.uid] = true
 			return
 		}
 		g.fl.Remove(t, now)
 	}
-	j.waiting = append(j.waiting, b.Piece.Index)
+	g.wait(j, b.Piece.Index)
 	if j.group() {
 		// Without this task the others cannot go on: they stop now, and the group
 		// is started again whole.
@@ -552,6 +647,7 @@
 	m.Strikes++
 	if m.Strikes >= 2 && m.Banned == "" {
 		m.Banned = "sick"
+		g.touched[m] = true
 		g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", m.Strikes)
 	}
 	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(pc.fails)
@@ -563,6 +659,7 @@
 		ratio := float64(took) / float64(j.ran.mean())
 		m.Slow += (ratio - m.Slow) / float64(min(m.SlowN+2, 6))
 		m.SlowN++
+		g.touched[m] = true
 	}
 	j.ran.n++
 	j.ran.sum += took
@@ -576,7 +673,8 @@
 	g.lanes[j.spec.Lane] = st
 }
 
-// Beat takes in a worker's report and says what to answer.
+// Beat takes in a worker's report and says what to answer. A report without
+// news costs a look-up and the comparison of its task list with the last one.
 func (g *reign) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) {
 	now := g.ck.Now()
 	g.mu.Lock()
@@ -586,19 +684,33 @@
 	if !may || !g.loaded {
 		return wire.BeatAnswer{}, false
 	}
+	ans := wire.BeatAnswer{Warrant: warrant, Orders: []wire.Order{}}
+	if _, gone := g.gone[rep.Host]; gone {
+		// The cloud has said that this machine and all on it are gone, and names
+		// are not given twice: a copy that was under way all this time.
+		return ans, true
+	}
 	_, order := g.el.MayOrder()
 	news, fresh := g.fl.Report(now, rep, true)
 	m := g.fl.Machine(rep.Host)
-	if !fresh && rep.Tenure < m.Tenure {
-		// Of a session that is over: the worker drops the answer anyway.
-		return wire.BeatAnswer{Warrant: warrant, Orders: []wire.Order{}}, true
+	if !fresh {
+		// A late copy, or a new process that counts from the start again: its lease
+		// is counted as renewed, and the worker itself is asked which it is.
+		g.fl.Answered(m, now)
+		g.askOld(m, now)
+		return ans, true
+	}
+	if m.Suspect {
+		g.ask(m)
+	}
+	if m.Beaten {
+		delete(g.unheard, m)
 	}
 	g.news(news, now)
 	g.fl.Answered(m, now)
 	if len(news) > 0 {
 		g.wake()
 	}
-	ans := wire.BeatAnswer{Warrant: warrant, Orders: []wire.Order{}}
 	if order {
 		ans.Orders = g.fl.Orders(m, now, true, !g.busy[m.Name])
 	}
@@ -613,12 +725,7 @@
 	if j == nil || !g.loaded {
 		return 0, 0, false
 	}
-	for i := range j.pieces {
-		if b := j.pieces[i].booking; b != nil && b.Status == wire.PieceRunning {
-			running++
-		}
-	}
-	return j.done, running, true
+	return j.done, j.running, true
 }
 
 // sortedJobs lists the jobs in a fixed order. The caller holds mu.
--- a/engine_test.go
+++ b/engine_test.go
@@ -90,6 +90,7 @@
 	select {
 	case r := <-ready:
 		g = newReign(n, r)
+		g.ctx = s.t.Context()
 	case <-time.After(10 * time.Second):
 		s.t.Fatal("not elected")
 	}
@@ -194,15 +195,25 @@
 	}
 }
 
-// beat lets a worker report to the leader and execute the answer.
+// beat lets a worker report to the leader and execute the answer; and once more
+// when the leader has yet to see that the worker knows its warrant.
 func beat(t *testing.T, g *reign, w *standin.Worker) {
 	t.Helper()
-	rep := w.Report()
-	ans, ok := g.Beat(&rep)
-	if !ok {
-		t.Fatalf("beat of %s not answered", rep.Host)
+	for range 2 {
+		rep := w.Report()
+		ans, ok := g.Beat(&rep)
+		if !ok {
+			t.Fatalf("beat of %s not answered", rep.Host)
+		}
+		w.Take(ans)
+		g.mu.Lock()
+		m := g.fl.Machine(rep.Host)
+		trusted := m == nil || m.Beaten
+		g.mu.Unlock()
+		if trusted {
+			return
+		}
 	}
-	w.Take(ans)
 }
 
 // settle runs passes until all direct commands have landed and been taken in.
@@ -212,7 +223,7 @@
 		g.step(s.t.Context())
 		for i := 0; ; i++ {
 			g.mu.Lock()
-			n := len(g.busy)
+			n := len(g.busy) + g.probes
 			g.mu.Unlock()
 			if n == 0 {
 				break
@@ -813,7 +824,8 @@
 		s.advance(3 * time.Second)
 		beat(t, gb, other)
 	}
-	for range deafAfter {
+	for range muteAfter {
+		g.probedAt = 0
 		g.probeSilent(t.Context())
 		for probing := true; probing; runtime.Gosched() {
 			g.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,11 @@
 package fleet
 
 import (
+	"bytes"
+	"cmp"
+	"container/heap"
+	"container/list"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -48,6 +53,7 @@
 	Stow    float64
 	Saves   bool
 	Since   clock.Micros // reserved at
+	Tag     any          // the leader's own record of the task's job
 
 	Recorded bool         // durable: may be sent
 	Adopted  bool         // recorded by a predecessor
@@ -65,6 +71,8 @@
 	flying    int    // /do requests with this run now in flight
 	beatTally uint64 // highest tally of a beat whose answer carried the run
 	firstSent clock.Micros
+	place     int  // its index in the machine's list
+	off       bool // no longer in the list
 
 	Urged bool // its halt was sent directly once
 }
@@ -106,7 +114,10 @@
 	Cordoned  bool         // gets nothing new, is to be returned when empty
 	Strikes   int          // errors in a row
 	Probing   bool         // is being asked why it is silent
-	Deaf      int          // such questions in a row without an answer
+	Mute      int          // such questions in a row without an answer
+	Unheard   int          // signs in a row that what it is told takes no effect
+	Suspect   bool         // was silent: one report does not make it trusted again
+	Hushed    bool         // among the silent ones
 	Slow      float64      // observed run time against other machines'; 1 is usual
 	SlowN     int
 
@@ -114,57 +125,49 @@
 	UsedAccel float64
 	UsedRAM   float64
 
-	Bookings map[PieceID]map[uint64]*Booking
-	Images   map[string]bool // bundles seen here; true once one was fetched whole
-	strays   map[string]stray
+	Images map[string]bool // bundles seen here; true once one was fetched whole
+
+	list   []*Booking // in the order of their reservation
+	byKey  map[key]*Booking
+	live   int // bookings that may be on it
+	strays map[key]stray
+	seen   []byte // the task list of the last report, as it came
+	steady bool   // that list holds no news and asks for no orders
+	dueAt  clock.Micros
+	due    int // its index in the fleet's order of lease ends, plus one
+	beat   *list.Element
 }
 
-type stray struct {
-	piece string
+// key names an attempt on a machine.
+type key struct {
+	piece PieceID
 	try   uint64
-	ended bool
 }
 
+type stray struct{ ended bool }
+
 // Free is the room that nothing is booked on.
 func (m *Machine) Free() (cores, accel, ram float64) {
 	return m.Cores - m.UsedCores, m.Accel - m.UsedAccel, m.RAM - m.UsedRAM
 }
 
-// Each calls f for every booking on the machine, in a fixed order.
+// Each calls f for every booking on the machine, oldest first. f may remove
+// the booking that it is given.
 func (m *Machine) Each(f func(b *Booking)) {
-	list := make([]*Booking, 0, len(m.Bookings))
-	for _, tries := range m.Bookings {
-		for _, b := range tries {
-			list = append(list, b)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if a.Piece.Job != b.Piece.Job {
-			return a.Piece.Job < b.Piece.Job
-		}
-		if a.Piece.Index != b.Piece.Index {
-			return a.Piece.Index < b.Piece.Index
-		}
-		return a.Try < b.Try
-	})
-	for _, b := range list {
+	for i := 0; i < len(m.list); {
+		b := m.list[i]
 		f(b)
+		if i < len(m.list) && m.list[i] == b {
+			i++
+		}
 	}
 }
 
+// Bookings is how many attempts are on the books, ended ones included.
+func (m *Machine) Bookings() int { return len(m.list) }
+
 // LiveCount is how many bookings may be on the machine.
-func (m *Machine) LiveCount() int {
-	n := 0
-	for _, tries := range m.Bookings {
-		for _, b := range tries {
-			if b.Live() {
-				n++
-			}
-		}
-	}
-	return n
-}
+func (m *Machine) LiveCount() int { return m.live }
 
 // Fleet is all machines known to the leader.
 type Fleet struct {
@@ -173,6 +176,33 @@
 	machines map[string]*Machine
 	builds   map[string]wire.Build
 	first    uint64 // the reign's first warrant
+	due      leases // machines with bookings, by when their lease may run out
+	beats    *list.List
+	doubts   map[*Booking]bool
+
+	// Room, if set, is told of every booking that comes to take room (+1) or no
+	// longer does (-1), with the zone that it counts for.
+	Room func(b *Booking, yard string, sign int)
+	// Touched, if set, is told of a machine of which something changed that
+	// matters for placing.
+	Touched func(m *Machine)
+	// Visits counts machines and bookings looked at, so that tests can bound the work.
+	Visits int
+}
+
+// leases is a heap of machines by when their lease may run out.
+type leases []*Machine
+
+func (l leases) Len() int           { return len(l) }
+func (l leases) Less(i, k int) bool { return l[i].dueAt < l[k].dueAt }
+func (l leases) Swap(i, k int)      { l[i], l[k] = l[k], l[i]; l[i].due, l[k].due = i+1, k+1 }
+func (l *leases) Push(x any)        { m := x.(*Machine); *l = append(*l, m); m.due = len(*l) }
+func (l *leases) Pop() any {
+	old := *l
+	m := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l, m.due = old[:len(old)-1], 0
+	return m
 }
 
 // Drift is how far apart two steady clocks may run, as a share.
@@ -183,9 +213,26 @@
 
 // New makes an empty Fleet for a reign that began with the given warrant.
 func New(lease, report clock.Micros, first uint64) *Fleet {
-	return &Fleet{first: first, lease: lease.Stretch(Drift) + leaseMargin, report: report, machines: map[string]*Machine{}, builds: map[string]wire.Build{}}
+	return &Fleet{first: first, lease: lease.Stretch(Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
+		builds: map[string]wire.Build{}, beats: list.New(), doubts: map[*Booking]bool{}}
+}
+
+func (f *Fleet) touch(m *Machine) {
+	if f.Touched != nil {
+		f.Touched(m)
+	}
+}
+
+func (f *Fleet) room(b *Booking, sign int) {
+	b.Machine.live += sign
+	if f.Room != nil {
+		f.Room(b, b.Machine.Yard, sign)
+	}
 }
 
+// Len is how many machines are known.
+func (f *Fleet) Len() int { return len(f.machines) }
+
 // SetCatalog tells the machine types, and gives machines seen before their size.
 func (f *Fleet) SetCatalog(c wire.Catalog) {
 	for _, b := range c.Builds {
@@ -197,9 +244,31 @@
 }
 
 func (f *Fleet) size(m *Machine) {
-	if b, ok := f.builds[m.Build]; ok {
+	if b, ok := f.builds[m.Build]; ok && (m.Cores != b.Cores || m.Accel != b.Accel || m.RAM != b.RAM) {
 		m.Cores, m.Accel, m.RAM = b.Cores, b.Accel, b.RAM
+		f.touch(m)
+	}
+}
+
+// Place notes what a machine is and where. What is booked on it counted for
+// every zone while that was unknown.
+func (f *Fleet) Place(m *Machine, endpoint, build, yard string, loaned bool) {
+	if m.Endpoint == endpoint && m.Build == build && m.Yard == yard && m.Loaned == loaned {
+		return
 	}
+	m.Each(func(b *Booking) {
+		if b.Live() {
+			f.room(b, -1)
+		}
+	})
+	m.Endpoint, m.Build, m.Yard, m.Loaned = endpoint, build, yard, loaned
+	m.Each(func(b *Booking) {
+		if b.Live() {
+			f.room(b, 1)
+		}
+	})
+	f.size(m)
+	f.touch(m)
 }
 
 // Build looks a machine type up.
@@ -218,32 +287,64 @@
 	return out
 }
 
+// All calls f for every machine, in no order.
+func (f *Fleet) All(do func(m *Machine)) {
+	for _, m := range f.machines {
+		do(m)
+	}
+}
+
 // Ensure gives the machine of this name, made now if it was unknown.
 func (f *Fleet) Ensure(name string, now clock.Micros) *Machine {
 	m := f.machines[name]
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: now, IdleFrom: now, Slow: 1, LeaseEnd: now + f.lease,
-			Bookings: map[PieceID]map[uint64]*Booking{}, Images: map[string]bool{}, strays: map[string]stray{}}
+			byKey: map[key]*Booking{}, Images: map[string]bool{}, strays: map[key]stray{}}
 		f.machines[name] = m
 	}
 	return m
 }
 
 // Drop forgets a machine on which nothing can be any more.
-func (f *Fleet) Drop(name string) { delete(f.machines, name) }
+func (f *Fleet) Drop(name string) {
+	m := f.machines[name]
+	if m == nil {
+		return
+	}
+	delete(f.machines, name)
+	if m.beat != nil {
+		f.beats.Remove(m.beat)
+		m.beat = nil
+	}
+	if m.due > 0 {
+		heap.Remove(&f.due, m.due-1)
+	}
+	f.touch(m)
+}
+
+// watch puts a machine that holds bookings among those whose lease is watched.
+func (f *Fleet) watch(m *Machine) {
+	if m.due == 0 {
+		m.dueAt = m.LeaseEnd
+		heap.Push(&f.due, m)
+	}
+}
 
 // Reserve books room for an attempt. It is not yet Recorded.
 func (f *Fleet) Reserve(m *Machine, b *Booking, now clock.Micros) {
 	b.Machine = m
 	b.Since = now
-	if m.Bookings[b.Piece] == nil {
-		m.Bookings[b.Piece] = map[uint64]*Booking{}
-	}
-	m.Bookings[b.Piece][b.Try] = b
+	b.place, b.off = len(m.list), false
+	m.list = append(m.list, b)
+	m.byKey[key{b.Piece, b.Try}] = b
 	m.UsedCores += b.Cores
 	m.UsedAccel += b.Accel
 	m.UsedRAM += b.RAM
 	m.IdleFrom = 0
+	m.steady = false
+	f.room(b, 1)
+	f.watch(m)
+	f.touch(m)
 }
 
 // Adopt books an attempt that a predecessor recorded. Any warrant below this
@@ -252,21 +353,44 @@
 func (f *Fleet) Adopt(m *Machine, b *Booking, now clock.Micros) {
 	f.Reserve(m, b, now)
 	b.Recorded, b.Adopted = true, true
-	b.doubt = f.first - 1
+	f.setDoubt(b, f.first-1)
 	m.Tenure = max(m.Tenure, b.Tenure)
 	b.firstSent = now
 }
 
+func (f *Fleet) setDoubt(b *Booking, warrant uint64) {
+	b.doubt = warrant
+	if warrant > 0 {
+		f.doubts[b] = true
+	} else {
+		delete(f.doubts, b)
+	}
+}
+
 // Remove frees a booking's room, if it still takes any, and forgets it.
 func (f *Fleet) Remove(b *Booking, now clock.Micros) {
 	f.release(b, now)
-	tries := b.Machine.Bookings[b.Piece]
-	delete(tries, b.Try)
-	if len(tries) == 0 {
-		delete(b.Machine.Bookings, b.Piece)
+	m := b.Machine
+	if b.off {
+		return
 	}
-	if len(b.Machine.Bookings) == 0 && b.Machine.IdleFrom == 0 {
-		b.Machine.IdleFrom = now
+	b.off = true
+	delete(f.doubts, b)
+	if k := (key{b.Piece, b.Try}); m.byKey[k] == b {
+		delete(m.byKey, k)
+	}
+	copy(m.list[b.place:], m.list[b.place+1:])
+	m.list[len(m.list)-1] = nil
+	m.list = m.list[:len(m.list)-1]
+	for i := b.place; i < len(m.list); i++ {
+		m.list[i].place = i
+	}
+	m.steady = false
+	if len(m.list) == 0 {
+		m.list = nil
+		if m.IdleFrom == 0 {
+			m.IdleFrom = now
+		}
 	}
 }
 
@@ -279,13 +403,16 @@
 	m.UsedCores = max(0, m.UsedCores-b.Cores)
 	m.UsedAccel = max(0, m.UsedAccel-b.Accel)
 	m.UsedRAM = max(0, m.UsedRAM-b.RAM)
-	if m.LiveCount() == 0 {
+	m.steady = false
+	f.room(b, -1)
+	if m.live == 0 {
 		// Sums of decimals drift; an empty machine is exactly empty.
 		m.UsedCores, m.UsedAccel, m.UsedRAM = 0, 0, 0
 		if m.IdleFrom == 0 {
 			m.IdleFrom = now
 		}
 	}
+	f.touch(m)
 }
 
 // News is what a report, an expiry or a return taught about a booking.
@@ -304,54 +431,83 @@
 // /do or /show: only a beat proves that the answer to an earlier beat is dead,
 // because a worker has one beat in flight and drops answers that come late.
 // A report older than what is known changes nothing and gives fresh=false.
+//
+// A copy of a report may come long after it was made. What it can prove stays
+// true however late it is: an end, a newer session, and an absence only under
+// the conditions below. That the machine is there now, it cannot prove: see Trusted.
 func (f *Fleet) Report(now clock.Micros, rep *wire.Beat, viaBeat bool) (news []News, fresh bool) {
 	m := f.Ensure(rep.Host, now)
 	if !m.Newer(rep.Tenure, rep.Tally) {
 		return nil, false
 	}
-	m.Endpoint, m.Build, m.Yard, m.Loaned = rep.Endpoint, rep.Build, rep.Yard, rep.Loaned
-	f.size(m)
-	if m.BootedAt == 0 {
-		m.BootedAt = now
-	}
+	f.Visits++
+	f.Place(m, rep.Endpoint, rep.Build, rep.Yard, rep.Loaned)
 	if rep.Tenure > m.Tenure {
 		// A new session: the worker has killed all that ran in the ones before.
+		// One that ended although it went on reporting, and was answered, either
+		// began anew or did not hear the answers: that alone does not tell which.
+		if m.Beaten && !m.Suspect && viaBeat && m.Tenure > 0 && now-m.LastBeat < 2*f.report {
+			m.Unheard = max(m.Unheard, deafSigns-1)
+		}
 		news = append(news, f.dropSessions(m, rep.Tenure, now)...)
 		m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
 		m.Images = map[string]bool{}
+		m.steady = false
 	}
 	m.Tenure, m.Tally = rep.Tenure, rep.Tally
-	m.Warrant = max(m.Warrant, rep.Warrant)
-	if viaBeat {
-		m.Beaten, m.LastBeat, m.Deaf = true, now, 0
+	if rep.Warrant > m.Warrant {
+		m.Warrant = rep.Warrant
+		f.Obeyed(m)
 	}
+	warned := clock.Micros(0)
 	if rep.WarningS != nil {
-		m.WarnUntil = now + clock.FromSeconds(*rep.WarningS)
-	} else {
-		m.WarnUntil = 0
+		warned = now + clock.FromSeconds(*rep.WarningS)
 	}
-	type key struct {
-		p   PieceID
-		try uint64
+	if (warned > 0) != (m.WarnUntil > 0) {
+		f.touch(m)
 	}
-	shown := make(map[key]bool, len(rep.Pieces))
+	m.WarnUntil = warned
+	if viaBeat {
+		f.heard(m, now)
+	}
+	if m.steady && m.Warrant == rep.Warrant && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
+		return news, true
+	}
+	if err := rep.DecodePieces(); err != nil {
+		return news, true // its task list is not readable: it proves nothing
+	}
+	shown := make(map[*Booking]bool, len(rep.Pieces))
 	clear(m.strays)
+	held := len(m.Images)
 	for i := range rep.Pieces {
+		f.Visits++
 		p := &rep.Pieces[i]
 		id, ok := ParsePiece(p.Piece)
+		k := key{id, p.Try}
 		var b *Booking
 		if ok {
-			b = m.Bookings[id][p.Try]
+			b = m.byKey[k]
 		}
 		if b == nil || b.Tenure != rep.Tenure {
-			m.strays[p.Piece+"#"+strconv.FormatUint(p.Try, 10)] = stray{piece: p.Piece, try: p.Try, ended: p.Status == wire.PieceEnded}
+			if ok {
+				m.strays[k] = stray{ended: p.Status == wire.PieceEnded}
+			}
 			continue
 		}
-		shown[key{id, p.Try}] = true
+		shown[b] = true
+		if b.Status == "" && b.firstSent > 0 {
+			f.Obeyed(m)
+		}
 		b.Status = p.Status
-		m.Images[b.Bundle] = m.Images[b.Bundle] || p.Status == wire.PieceRunning
+		if p.Status == wire.PieceRunning && !m.Images[b.Bundle] {
+			m.Images[b.Bundle] = true
+			f.touch(m)
+		} else if _, known := m.Images[b.Bundle]; !known {
+			m.Images[b.Bundle] = false
+		}
 		if p.Status == wire.PieceRunning && b.Running == 0 {
 			b.Running = now
+			f.touch(m)
 			news = append(news, News{Booking: b, Started: true})
 		}
 		if p.Status == wire.PieceEnded && !b.Ended {
@@ -360,17 +516,25 @@
 			news = append(news, News{Booking: b})
 		}
 	}
+	if len(m.Images) != held {
+		f.touch(m)
+	}
+	steady, unheard := len(m.strays) == 0, false
 	m.Each(func(b *Booking) {
-		if b.Tenure != rep.Tenure || shown[key{b.Piece, b.Try}] {
+		f.Visits++
+		// A higher warrant voids copies that a /do without a definite answer left
+		// on their way, of attempts that are shown as well.
+		if b.doubt > 0 && rep.Warrant > b.doubt {
+			f.setDoubt(b, 0)
+		}
+		steady = steady && shown[b] && b.Live() && !b.Halt && !b.copiesOut()
+		if b.Tenure != rep.Tenure || shown[b] {
 			return
 		}
 		// Not in the report. A /do without a definite answer is dead once the
 		// worker has seen a higher warrant; the answer to a beat is dead once a
 		// later beat has come.
-		if b.doubt > 0 && rep.Warrant > b.doubt {
-			b.doubt = 0
-		}
-		if b.flying > 0 || b.doubt > 0 {
+		if b.copiesOut() {
 			return
 		}
 		if b.Ended {
@@ -384,51 +548,166 @@
 		}
 		if b.Status == "" && !b.Halt {
 			// Never shown: the run was lost, and the next answer carries it again.
+			unheard = true
 			return
 		}
 		f.release(b, now)
 		news = append(news, News{Booking: b, Gone: true})
 	})
-	// A higher warrant also voids copies of attempts that are shown.
-	m.Each(func(b *Booking) {
-		if b.doubt > 0 && rep.Warrant > b.doubt {
-			b.doubt = 0
-		}
-	})
+	m.steady = steady
+	m.seen = append(m.seen[:0], rep.Raw...)
+	if unheard {
+		f.Unheard(m)
+	}
 	return news, true
 }
 
+// deafSigns is how many answers in a row without effect make a machine deaf.
+const deafSigns = 3
+
+// Obeyed notes that something told to the worker took effect.
+func (f *Fleet) Obeyed(m *Machine) {
+	if m.Unheard > 0 {
+		f.touch(m)
+	}
+	m.Unheard = 0
+}
+
+// Unheard notes that something told to the worker took no effect: the answer
+// to its beat, or a direct command.
+func (f *Fleet) Unheard(m *Machine) {
+	m.Unheard++
+	f.touch(m)
+}
+
+// Deaf tells whether nothing told to the machine takes effect although it reports.
+func (m *Machine) Deaf() bool { return m.Unheard >= deafSigns }
+
+// heard notes a beat: when, and whether the machine may be trusted on it.
+//
+// A late copy can be the first report that a new leader sees, or the first
+// after a long silence. So a machine is trusted only once it has shown a
+// warrant of this reign, which no copy made before it can, and after a silence
+// only once it has answered a question (see Answers).
+func (f *Fleet) heard(m *Machine, now clock.Micros) {
+	if m.Beaten && now-m.LastBeat > 2*f.report && !m.Suspect {
+		m.Suspect = true
+		f.touch(m)
+	}
+	if m.Suspect || m.Warrant < f.first {
+		return
+	}
+	if !m.Beaten {
+		m.Beaten = true
+		f.touch(m)
+	}
+	if m.BootedAt == 0 {
+		m.BootedAt = now
+	}
+	m.Mute = 0
+	if m.Hushed {
+		m.Hushed = false
+		f.touch(m)
+	}
+	m.LastBeat = now
+	if m.beat == nil {
+		m.beat = f.beats.PushBack(m)
+	} else {
+		f.beats.MoveToBack(m.beat)
+	}
+}
+
+// Answers takes in the report with which a worker answered a question, asked
+// when its reports had come as far as known. Unlike a beat it is surely of now. A worker that names an
+// older session or tally than it did before the question is a new process:
+// its predecessor's tasks are gone with it, except those that a copy of a run,
+// still on its way, might start in the new one.
+func (f *Fleet) Answers(now clock.Micros, known wire.Mark, rep *wire.Beat) (news []News) {
+	m := f.machines[rep.Host]
+	if m == nil {
+		return nil
+	}
+	if rep.Tenure < known.Tenure || rep.Tenure == known.Tenure && rep.Tally <= known.Tally {
+		m.Each(func(b *Booking) {
+			if b.copiesOut() {
+				return
+			}
+			if b.Live() {
+				f.release(b, now)
+				news = append(news, News{Booking: b, Gone: true})
+			}
+			f.Remove(b, now)
+		})
+		m.Tenure, m.Tally, m.Warrant = rep.Tenure, 0, rep.Warrant
+		m.Images, m.steady = map[string]bool{}, false
+		m.Beaten = m.Beaten && rep.Warrant >= f.first
+		m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
+		// What is in doubt may yet be started by the new process, under its session.
+		m.Each(func(b *Booking) { b.Tenure, b.Status = rep.Tenure, "" })
+		f.touch(m)
+	}
+	more, _ := f.Report(now, rep, false)
+	m.LastBeat = now
+	if m.Suspect {
+		m.Suspect = false
+		f.touch(m)
+	}
+	f.heard(m, now)
+	return append(news, more...)
+}
+
+// Mark is how far a machine's reports have come.
+func (m *Machine) Mark() wire.Mark { return wire.Mark{Tenure: m.Tenure, Tally: m.Tally} }
+
+// Hush lists the machines whose last beat is older than after, longest silent first.
+func (f *Fleet) Hush(now, after clock.Micros) (silent []*Machine) {
+	for e := f.beats.Front(); e != nil; e = e.Next() {
+		m := e.Value.(*Machine)
+		f.Visits++
+		if now-m.LastBeat <= after {
+			break
+		}
+		silent = append(silent, m)
+	}
+	return silent
+}
+
 // dropSessions frees what was booked in sessions before the given one.
 func (f *Fleet) dropSessions(m *Machine, tenure uint64, now clock.Micros) (news []News) {
 	m.Each(func(b *Booking) {
 		if b.Tenure >= tenure {
 			return
 		}
-		live := b.Live()
-		settled := b.Settled
-		if live {
+		f.Visits++
+		if b.Live() {
 			f.release(b, now)
 			news = append(news, News{Booking: b, Gone: true})
 		}
-		if live || settled {
-			f.Remove(b, now)
-		} else {
-			// It ended but the result is not durable yet: keep it for the record.
-			b.doubt, b.flying = 0, 0
-			f.Remove(b, now)
-		}
+		f.Remove(b, now)
 	})
 	return news
 }
 
 // Expire frees the bookings of machines whose lease must have run out.
 func (f *Fleet) Expire(now clock.Micros) (news []News) {
-	for _, m := range f.Machines() {
-		if now <= m.LeaseEnd || len(m.Bookings) == 0 {
+	for len(f.due) > 0 && f.due[0].dueAt < now {
+		m := heap.Pop(&f.due).(*Machine)
+		f.Visits++
+		if len(m.list) == 0 {
+			continue
+		}
+		if now <= m.LeaseEnd {
+			f.watch(m)
 			continue
 		}
 		news = append(news, f.dropSessions(m, m.Tenure+1, now)...)
-		m.Beaten = false
+		// Its next report may be a copy of one from before.
+		m.Beaten, m.Suspect = false, m.Suspect || m.Beaten
+		if m.beat != nil {
+			f.beats.Remove(m.beat)
+			m.beat = nil
+		}
+		f.touch(m)
 	}
 	return news
 }
@@ -452,32 +731,40 @@
 		}
 		f.Remove(b, now)
 	})
-	delete(f.machines, name)
+	f.Drop(name)
 	return news
 }
 
-// Answered notes that a beat of m is being answered, which extends its lease.
+// Answered notes that a beat of m is being answered, which extends its lease
+// if the answer is heard. That counts even for a copy that comes late.
 func (f *Fleet) Answered(m *Machine, now clock.Micros) {
 	m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
 }
 
+// Steady tells whether the machine's last report asks for no orders at all.
+func (m *Machine) Steady() bool { return m.steady }
+
 // Orders lists what a worker should be told. For a beat, the runs in it are
 // noted as carried by the answer to the beat of this tally.
 func (f *Fleet) Orders(m *Machine, now clock.Micros, viaBeat, mayRun bool) []wire.Order {
 	orders := []wire.Order{}
+	if m.steady {
+		return orders
+	}
 	var runs []wire.Order
 	for _, s := range sorted(m.strays) {
 		// Not on the books here: it is stopped, then forgotten.
-		if !s.ended {
+		if !m.strays[s].ended {
 			zero := 0.0
-			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.piece, Try: s.try, LeewayS: &zero})
+			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.piece.String(), Try: s.try, LeewayS: &zero})
 		} else if viaBeat && m.Warrant >= f.first {
-			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.piece, Try: s.try})
+			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.piece.String(), Try: s.try})
 		}
 	}
-	m.Each(func(b *Booking) {
+	for _, b := range m.list {
+		f.Visits++
 		if b.Tenure != m.Tenure {
-			return
+			continue
 		}
 		switch {
 		case b.Ended:
@@ -498,22 +785,20 @@
 				b.firstSent = now
 			}
 		}
-	})
+	}
 	// Stops come first: they make the room that runs need.
 	return append(orders, runs...)
 }
 
-func sorted(in map[string]stray) []stray {
-	keys := make([]string, 0, len(in))
+func sorted(in map[key]stray) []key {
+	keys := make([]key, 0, len(in))
 	for k := range in {
 		keys = append(keys, k)
 	}
-	sort.Strings(keys)
-	out := make([]stray, 0, len(keys))
-	for _, k := range keys {
-		out = append(out, in[k])
-	}
-	return out
+	slices.SortFunc(keys, func(a, b key) int {
+		return cmp.Or(strings.Compare(a.piece.Job, b.piece.Job), cmp.Compare(a.piece.Index, b.piece.Index), cmp.Compare(a.try, b.try))
+	})
+	return keys
 }
 
 // Stop asks for the end of an attempt. One that was never sent is gone at once.
@@ -527,6 +812,8 @@
 	}
 	if !b.Halt {
 		b.Halt, b.HaltAt, b.Leeway = true, now, leeway
+		b.Machine.steady = false
+		f.touch(b.Machine)
 	}
 	return false
 }
@@ -554,7 +841,7 @@
 			continue
 		}
 		if id, ok := ParsePiece(o.Piece); ok {
-			b := m.Bookings[id][o.Try]
+			b := m.byKey[key{id, o.Try}]
 			b.flying++
 			fl.runs = append(fl.runs, b)
 		}
@@ -568,7 +855,9 @@
 	for _, b := range fl.runs {
 		b.flying--
 		if !definite {
-			b.doubt = max(b.doubt, fl.Warrant)
+			if !b.off {
+				f.setDoubt(b, max(b.doubt, fl.Warrant))
+			}
 		}
 	}
 }
@@ -576,16 +865,10 @@
 // Doubts counts bookings with a run that may still arrive at workers that do report.
 func (f *Fleet) Doubts(now clock.Micros, warrant uint64) int {
 	n := 0
-	for _, m := range f.machines {
-		if !m.Beaten || now-m.LastBeat > 3*f.report {
-			continue
-		}
-		for _, tries := range m.Bookings {
-			for _, b := range tries {
-				if b.doubt >= warrant && b.doubt > 0 {
-					n++
-				}
-			}
+	for b := range f.doubts {
+		f.Visits++
+		if m := b.Machine; b.doubt >= warrant && m.Beaten && now-m.LastBeat <= 3*f.report {
+			n++
 		}
 	}
 	return n
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,7 @@
 	starts  []string
 	warning *float64
 	fail    bool
+	cut     bool
 }
 
 // NewWorker makes a worker without tasks in its first session.
@@ -161,9 +162,31 @@
 	return true
 }
 
-// ServeHTTP is the worker's /do.
+// Unreachable makes the worker give no answer to /do and /show.
+func (w *Worker) Unreachable(yes bool) { w.mu.Lock(); defer w.mu.Unlock(); w.cut = yes }
+
+// Restart puts a new process in the worker's place, which counts sessions and
+// reports from the start again and has no tasks.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tenure, w.tally, w.warrant = 1, 0, 0
+	w.pieces = map[string]*wire.PieceReport{}
+}
+
+// ServeHTTP is the worker's /do and /show.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	if r.URL.Path == wire.PathShow {
+		reply(rw, http.StatusOK, w.Report())
+		return
+	}
 	var d wire.Do
 	if err := msgpack.Unmarshal(body, &d); err != nil {
 		reply(rw, http.StatusBadRequest, wire.Error{Error: err.Error()})
--- /dev/null
+++ b/plan/index.go
@@ -0,0 +1,199 @@
+package plan
+
+import (
+	"math"
+	"sort"
+)
+
+// levels is how many classes of free memory machines are kept apart in, eight
+// for each doubling: worst fit looks at the uppermost first.
+const levels = 128
+
+func level(ram float64) int {
+	return max(0, min(levels-1, int(8*math.Log2(1+max(0, ram+slop)))))
+}
+
+// The kinds of machine, in the order in which loaned work prefers them.
+const (
+	loaned = iota
+	ordinary
+	kinds
+)
+
+func kindOf(m *Machine) int {
+	if m.Loaned {
+		return loaned
+	}
+	return ordinary
+}
+
+// index finds machines without looking at all of them: by name, by kind and
+// free memory among those that may be given tasks, and by image.
+type index struct {
+	byName map[string]*Machine
+	all    [kinds][]*Machine
+	open   [kinds][levels][]*Machine
+	images map[string][]*Machine
+	yards  map[string]int
+}
+
+// place is where the index holds a machine.
+type place struct {
+	known  bool
+	kind   int // in all
+	nth    int
+	yard   string
+	open   bool
+	oKind  int
+	oLevel int
+	oNth   int
+	images map[string]int
+}
+
+func (p *Picture) reindex() {
+	p.index = &index{byName: map[string]*Machine{}, images: map[string][]*Machine{}, yards: map[string]int{}}
+	for _, m := range p.Machines {
+		m.at = place{}
+		p.index.put(m)
+	}
+}
+
+// Put takes a machine into the picture, or notes that it has changed.
+func (p *Picture) Put(m *Machine) {
+	if p.index == nil {
+		p.reindex()
+	}
+	p.index.put(m)
+}
+
+// Machine looks a machine up.
+func (p *Picture) Machine(name string) *Machine {
+	if p.index == nil {
+		p.reindex()
+	}
+	return p.index.byName[name]
+}
+
+// Drop takes a machine out of the picture.
+func (p *Picture) Drop(name string) {
+	if m := p.Machine(name); m != nil {
+		p.index.drop(m)
+	}
+}
+
+func (x *index) zones() []string {
+	out := make([]string, 0, len(x.yards))
+	for y := range x.yards {
+		out = append(out, y)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// kinds lists the machines of the kinds that a job may use.
+func (x *index) kinds(j *Job) []*Machine {
+	if !j.Loaned || len(x.all[loaned]) == 0 {
+		return x.all[ordinary]
+	}
+	if len(x.all[ordinary]) == 0 {
+		return x.all[loaned]
+	}
+	both := make([]*Machine, 0, len(x.all[loaned])+len(x.all[ordinary]))
+	return append(append(both, x.all[loaned]...), x.all[ordinary]...)
+}
+
+func (x *index) put(m *Machine) {
+	at := &m.at
+	if at.known && at.kind != kindOf(m) {
+		x.drop(m)
+	}
+	if !at.known {
+		at.known, at.kind, at.nth = true, kindOf(m), len(x.all[kindOf(m)])
+		x.all[at.kind] = append(x.all[at.kind], m)
+		x.byName[m.Name] = m
+		at.images = map[string]int{}
+	}
+	if at.yard != m.Yard {
+		x.leave(at.yard)
+		at.yard = m.Yard
+		if m.Yard != "" {
+			x.yards[m.Yard]++
+		}
+	}
+	open := m.Usable && m.Banned == "" && !m.Cordoned
+	l := level(m.RAM)
+	if at.open && (!open || at.oLevel != l) {
+		x.shut(m)
+	}
+	if open && !at.open {
+		at.open, at.oKind, at.oLevel, at.oNth = true, at.kind, l, len(x.open[at.kind][l])
+		x.open[at.kind][l] = append(x.open[at.kind][l], m)
+	}
+	for b := range at.images {
+		if _, still := m.Images[b]; !still {
+			x.unpicture(m, b)
+		}
+	}
+	if len(at.images) != len(m.Images) {
+		for b := range m.Images {
+			if _, known := at.images[b]; !known {
+				at.images[b] = len(x.images[b])
+				x.images[b] = append(x.images[b], m)
+			}
+		}
+	}
+}
+
+func (x *index) leave(yard string) {
+	if x.yards[yard]--; x.yards[yard] <= 0 {
+		delete(x.yards, yard)
+	}
+}
+
+// shut takes a machine from those that may be given tasks.
+func (x *index) shut(m *Machine) {
+	at := &m.at
+	list := x.open[at.oKind][at.oLevel]
+	last := list[len(list)-1]
+	list[at.oNth] = last
+	last.at.oNth = at.oNth
+	list[len(list)-1] = nil
+	x.open[at.oKind][at.oLevel] = list[:len(list)-1]
+	at.open = false
+}
+
+func (x *index) unpicture(m *Machine, bundle string) {
+	list, n := x.images[bundle], m.at.images[bundle]
+	last := list[len(list)-1]
+	list[n] = last
+	last.at.images[bundle] = n
+	list[len(list)-1] = nil
+	if x.images[bundle] = list[:len(list)-1]; len(list) == 1 {
+		delete(x.images, bundle)
+	}
+	delete(m.at.images, bundle)
+}
+
+func (x *index) drop(m *Machine) {
+	at := &m.at
+	if !at.known {
+		return
+	}
+	if at.open {
+		x.shut(m)
+	}
+	for b := range at.images {
+		x.unpicture(m, b)
+	}
+	list := x.all[at.kind]
+	last := list[len(list)-1]
+	list[at.nth] = last
+	last.at.nth = at.nth
+	list[len(list)-1] = nil
+	x.all[at.kind] = list[:len(list)-1]
+	x.leave(at.yard)
+	if x.byName[m.Name] == m {
+		delete(x.byName, m.Name)
+	}
+	m.at = place{}
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -40,8 +40,11 @@
 	Cordoned                      bool   // gets no new tasks, but need not be emptied
 	Images                        map[string]Image
 	Lower                         []Victim // tasks that may be preempted, cheapest first
+	Held                          string   // the job that its room is kept for, if any
 
 	leaving int
+	at      place
+	before  *saved // as it was before the plan, while one is being made
 }
 
 // Victim is a task that could be stopped to make room.
@@ -49,7 +52,8 @@
 	Task              TaskID
 	Rank              wire.Rank
 	Cores, Accel, RAM float64
-	Lost              clock.Micros // progress that stopping it would lose
+	Since             clock.Micros // running since; zero when it has not begun
+	Job               *Job         // to tell whether its team is beyond its guarantee; may be nil
 	Borrowed          bool         // its team is beyond its guarantee
 
 	taken bool
@@ -79,9 +83,12 @@
 	Started           bool         // some task was started before
 	Group             bool         // its tasks run only all together
 	Left              int          // tasks not done yet
+	Aged              bool         // has waited long without any task begun
+	Hold              string       // the machine whose room is kept for it, if any
 
 	Zones    map[string]int // tasks that may exist, by zone
 	Machines map[string]int // the same by machine
+	Anywhere int            // of those, tasks whose zone is not known
 }
 
 // Waiting is a job's tasks that have no machine.
@@ -99,7 +106,9 @@
 	Reason  string
 }
 
-// Picture is the snapshot that a plan is made from. The planner changes it.
+// Picture is what a plan is made from. It is kept from plan to plan: after a
+// change of a machine, Put brings its indexes up to date. A plan leaves the
+// picture as it found it.
 type Picture struct {
 	Machines   []*Machine
 	Waiting    []Waiting
@@ -109,6 +118,9 @@
 	Sample     int
 	Seed       uint64
 	Preempt    bool
+	Now        clock.Micros
+
+	index *index
 }
 
 // Placement puts a task on a machine.
@@ -134,28 +146,33 @@
 	// Violations counts candidates that found no target at all.
 	Violations int
 	Unplaced   map[string]int // waiting tasks without a machine, by job
+	// Hold keeps the room that comes free on a machine for an aged job, by machine.
+	Hold map[string]string
+	// Visits counts the machines looked at.
+	Visits int
 }
 
 type planner struct {
 	*Picture
-	byName map[string]*Machine
 	rules  []Rule
 	out    Result
 	rng    *rand.Rand
+	undo   []func()
+	copies []*Machine // machines changed by the plan
 }
 
-// Make plans one round: first the repair moves, if the picture has
-// candidates, then the launches.
+// Make plans one round: first the launches of services, then the repair moves,
+// if the picture has candidates, then the other launches.
 func Make(p *Picture) Result {
-	pl := &planner{Picture: p, byName: map[string]*Machine{}, rules: Rules(),
-		rng: rand.New(rand.NewPCG(p.Seed, 1))}
-	pl.out.Unplaced = map[string]int{}
-	for _, m := range p.Machines {
-		pl.byName[m.Name] = m
+	if p.index == nil {
+		p.reindex()
 	}
+	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
+	pl.out.Unplaced = map[string]int{}
 	pl.launch(true)
 	pl.repair()
 	pl.launch(false)
+	pl.restore()
 	return pl.out
 }
 
@@ -169,6 +186,9 @@
 	if a.Lost != b.Lost {
 		return a.Lost
 	}
+	if ja.Aged != jb.Aged {
+		return ja.Aged
+	}
 	if ja.Entitled != jb.Entitled {
 		return ja.Entitled
 	}
@@ -181,6 +201,12 @@
 	return ja.UID < jb.UID
 }
 
+// maxHolds bounds the machines whose room is kept for jobs that have waited long.
+const maxHolds = 8
+
+// agedTasks is how many tasks of a job that has waited long go before others.
+const agedTasks = 4
+
 // launch places waiting tasks: services before the repair, so that replacing a
 // lost replica never waits behind a move, the rest after it.
 func (pl *planner) launch(standing bool) {
@@ -191,8 +217,26 @@
 		}
 	}
 	sort.SliceStable(list, func(i, j int) bool { return order(list[i], list[j]) })
+	// A job that has waited long without any task begun goes before those of
+	// higher rank with a few of its tasks, so that none waits for ever.
+	rest := list[:0:0]
 	var failed []*Job
 	for _, w := range list {
+		if j := w.Job; j.Aged && !j.Group && !j.SamePlace {
+			n := min(agedTasks, len(w.Indexes))
+			done := pl.some(&Waiting{Job: j, Indexes: w.Indexes[:n], Lost: w.Lost}, &failed, false)
+			if done == 0 {
+				pl.hold(j)
+			}
+			if done < len(w.Indexes) {
+				rest = append(rest, &Waiting{Job: j, Indexes: w.Indexes[done:], Lost: w.Lost})
+			}
+			continue
+		}
+		rest = append(rest, w)
+	}
+	failed = nil
+	for _, w := range rest {
 		j := w.Job
 		if dominated(j, failed) {
 			pl.out.Unplaced[j.UID] += len(w.Indexes)
@@ -202,33 +246,80 @@
 			pl.group(w)
 			continue
 		}
-		if j.SamePlace && len(j.Zones) == 0 {
+		if j.SamePlace && len(j.Zones) == 0 && j.Anywhere == 0 {
 			pl.gang(w)
 			continue
 		}
-		for n, index := range w.Indexes {
-			m := pl.target(j, "", nil)
-			if m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && pl.makeRoom(j, true) {
-				// Only cold machines have room: waiting for an image costs an urgent task
-				// more than a little lost work costs the one that makes way.
+		pl.some(w, &failed, true)
+	}
+}
+
+// some places as many of a job's waiting tasks as there is room for.
+func (pl *planner) some(w *Waiting, failed *[]*Job, last bool) (placed int) {
+	j := w.Job
+	for n, index := range w.Indexes {
+		m := pl.target(j, "", nil)
+		if last && m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && pl.makeRoom(j, true) {
+			// Only cold machines have room: waiting for an image costs an urgent task
+			// more than a little lost work costs the one that makes way.
+			pl.out.Unplaced[j.UID]++
+			continue
+		}
+		if m == nil {
+			if last && pl.Preempt && pl.makeRoom(j, false) {
+				// Its room is on the way; it is claimed so that nobody else takes it.
 				pl.out.Unplaced[j.UID]++
 				continue
 			}
-			if m == nil {
-				if pl.Preempt && pl.makeRoom(j, false) {
-					// Its room is on the way; it is claimed so that nobody else takes it.
-					pl.out.Unplaced[j.UID]++
-					continue
-				}
+			if last {
 				pl.out.Unplaced[j.UID] += len(w.Indexes) - n
-				if !j.Apart && !j.SamePlace {
-					failed = append(failed, j)
-				}
-				break
 			}
-			pl.place(j, index, m)
+			if !j.Apart && !j.SamePlace {
+				*failed = append(*failed, j)
+			}
+			break
+		}
+		pl.place(j, index, m)
+		placed++
+	}
+	return placed
+}
+
+// hold keeps a machine's room for a job for which none has enough: smaller
+// tasks would take each bit that comes free before it is enough for a large
+// one. The machine that lacks least is taken, or the one held already.
+func (pl *planner) hold(j *Job) {
+	if len(pl.out.Hold) >= maxHolds {
+		return
+	}
+	best := pl.index.byName[j.Hold]
+	if best != nil && (best.Held != j.UID || !pl.allowed(j, best)) {
+		best = nil
+	}
+	var least float64
+	list := pl.some64(pl.index.kinds(j))
+	if best != nil {
+		list = nil
+	}
+	for _, m := range list {
+		pl.out.Visits++
+		if m.Held != "" || !pl.allowed(j, m) {
+			continue
+		}
+		lack := max(0, j.Cores-m.Cores)/max(j.Cores, slop) + max(0, j.RAM-m.RAM)/max(j.RAM, slop)
+		if best == nil || lack < least {
+			best, least = m, lack
 		}
 	}
+	if best == nil {
+		return
+	}
+	if pl.out.Hold == nil {
+		pl.out.Hold = map[string]string{}
+	}
+	pl.out.Hold[best.Name] = j.UID
+	pl.save(best)
+	best.Held = j.UID
 }
 
 // dominated tells whether a job asks for at least what another, with no fewer
@@ -246,22 +337,14 @@
 // gang places a same_place array that has nothing anywhere: in one zone, whole
 // or, if it was never started, not at all.
 func (pl *planner) gang(w *Waiting) {
-	zones := map[string]bool{}
-	for _, m := range pl.Machines {
-		zones[m.Yard] = true
-	}
-	names := make([]string, 0, len(zones))
-	for z := range zones {
-		names = append(names, z)
-	}
-	sort.Strings(names)
+	names := pl.index.zones()
 	best, bestN := "", 0
 	for _, z := range names {
 		if n := pl.fits(w.Job, z, len(w.Indexes)); n > bestN {
 			best, bestN = z, n
 		}
 	}
-	if bestN < len(w.Indexes) && (!w.Job.Started || bestN == 0) {
+	if bestN < len(w.Indexes) && (!w.Job.Started && !w.Job.Aged || bestN == 0) {
 		pl.out.Unplaced[w.Job.UID] += len(w.Indexes)
 		return
 	}
@@ -279,19 +362,13 @@
 // nothing of it can be anywhere any more.
 func (pl *planner) group(w *Waiting) {
 	j := w.Job
-	if len(w.Indexes) < j.Left || len(j.Zones) > 0 {
+	if len(w.Indexes) < j.Left || len(j.Zones) > 0 || j.Anywhere > 0 {
 		pl.out.Unplaced[j.UID] += len(w.Indexes)
 		return
 	}
 	zones := []string{""}
 	if j.SamePlace {
-		zones = zones[:0]
-		for _, m := range pl.Machines {
-			if !slices.Contains(zones, m.Yard) {
-				zones = append(zones, m.Yard)
-			}
-		}
-		sort.Strings(zones)
+		zones = pl.index.zones()
 	}
 	for _, zone := range zones {
 		var on []*Machine
@@ -321,22 +398,15 @@
 	m.Cores += j.Cores
 	m.Accel += j.Accel
 	m.RAM += j.RAM
-	if q := pl.Team[j.Team]; q != nil {
-		q.Cores -= j.Cores
-		q.Accel -= j.Accel
-	}
-	if j.Zones[m.Yard]--; j.Zones[m.Yard] == 0 {
-		delete(j.Zones, m.Yard)
-	}
-	if j.Machines[m.Name]--; j.Machines[m.Name] == 0 {
-		delete(j.Machines, m.Name)
-	}
+	pl.index.put(m)
+	pl.count(j, m.Yard, m.Name, -1)
+	pl.use(j, -1)
 }
 
 // fits counts how many tasks of a job a zone can take, up to want.
 func (pl *planner) fits(j *Job, zone string, want int) int {
 	n := 0
-	for _, m := range pl.Machines {
+	for _, m := range pl.index.kinds(j) {
 		if m.Yard != zone || !pl.allowed(j, m) {
 			continue
 		}
@@ -367,35 +437,83 @@
 	return true
 }
 
-// pool is the machines looked at for one task: all of them, or when there are
-// more than the sample, a sample.
-func (pl *planner) pool() []*Machine {
-	if pl.Sample <= 0 || len(pl.Machines) <= pl.Sample {
-		return pl.Machines
+// some64 is a sample of the given machines in a random order of neighbours: all
+// of them when there are not more than the sample.
+func (pl *planner) some64(list []*Machine) []*Machine {
+	if pl.Sample <= 0 || len(list) <= pl.Sample {
+		return list
 	}
-	out := make([]*Machine, pl.Sample)
-	for i := range out {
-		out[i] = pl.Machines[pl.rng.IntN(len(pl.Machines))]
+	at := pl.rng.IntN(len(list))
+	if at+pl.Sample <= len(list) {
+		return list[at : at+pl.Sample]
 	}
-	return out
+	return append(slices.Clone(list[at:]), list[:at+pl.Sample-len(list)]...)
 }
 
 // target picks a machine for a task: among those that the rules allow and that
 // have room, the soft spread first, then a machine that has the image, then the
 // kind that costs least, then worst fit: most free memory, ties by free CPU.
+//
+// It looks at a sample of the machines that hold the image and at a sample of
+// those with room, the roomiest first. A sample in which nothing fits is no
+// answer: the search then goes on over all machines with room enough.
 func (pl *planner) target(j *Job, zone string, not *Machine) *Machine {
 	var best *Machine
-	for _, m := range pl.pool() {
+	consider := func(m *Machine) bool {
+		pl.out.Visits++
 		if m == not || zone != "" && m.Yard != zone || !room(j, m) || !pl.allowed(j, m) {
-			continue
+			return false
 		}
 		if best == nil || better(j, m, best) {
 			best = m
 		}
+		return true
+	}
+	if j.Bundle != "" {
+		for _, m := range pl.some64(pl.index.images[j.Bundle]) {
+			consider(m)
+		}
+	}
+	least := level(j.RAM)
+	for l := levels - 1; l >= least; l-- {
+		found, looked := 0, 0
+		for kind := range pl.index.open {
+			if kind == loaned && !j.Loaned {
+				continue
+			}
+			list := pl.index.open[kind][l]
+			if len(list) == 0 {
+				continue
+			}
+			at := 0
+			if pl.Sample > 0 && len(list) > pl.Sample {
+				at = pl.rng.IntN(len(list))
+			}
+			for i := range list {
+				m := list[(at+i)%len(list)]
+				looked++
+				if consider(m) {
+					found++
+				}
+				if pl.Sample > 0 && looked >= pl.Sample && best != nil {
+					break
+				}
+			}
+		}
+		// Emptier machines go first; fuller ones only matter while none was found,
+		// or for what is preferred to room.
+		if best != nil && (found >= pl.Sample && pl.Sample > 0 || l < levels-1 && pl.enoughSeen(j, best)) {
+			break
+		}
 	}
 	return best
 }
 
+// enoughSeen tells whether fuller machines could not be preferred to this one.
+func (pl *planner) enoughSeen(j *Job, best *Machine) bool {
+	return (j.Bundle == "" || best.Images[j.Bundle] == ImageHeld) && (!j.Standing || j.Machines[best.Name] == 0 && !j.Apart) && (best.Loaned || !j.Loaned)
+}
+
 func better(j *Job, a, b *Machine) bool {
 	if j.Standing {
 		// Spread: replicas on distinct machines while there are enough of them.
@@ -426,22 +544,86 @@
 	pl.out.Launch = append(pl.out.Launch, Placement{Task: TaskID{j.UID, index}, Machine: m.Name})
 }
 
-func (pl *planner) book(j *Job, m *Machine) {
-	m.Cores -= j.Cores
-	m.Accel -= j.Accel
-	m.RAM -= j.RAM
-	if q := pl.Team[j.Team]; q != nil {
-		q.Cores += j.Cores
-		q.Accel += j.Accel
+// saved is what a plan may change of a machine.
+type saved struct {
+	cores, accel, ram, stopCores, stopAccel, stopRAM float64
+	held                                             string
+	leaving                                          int
+}
+
+// save keeps a machine as it was, once, so that the picture can be restored.
+func (pl *planner) save(m *Machine) {
+	if m.before != nil {
+		return
 	}
+	m.before = &saved{m.Cores, m.Accel, m.RAM, m.StopCores, m.StopAccel, m.StopRAM, m.Held, m.leaving}
+	pl.copies = append(pl.copies, m)
+}
+
+// restore leaves the picture as it was found.
+func (pl *planner) restore() {
+	for i := len(pl.undo) - 1; i >= 0; i-- {
+		pl.undo[i]()
+	}
+	for _, m := range pl.copies {
+		b := m.before
+		m.Cores, m.Accel, m.RAM, m.StopCores, m.StopAccel, m.StopRAM, m.Held, m.leaving = b.cores, b.accel, b.ram, b.stopCores, b.stopAccel, b.stopRAM, b.held, b.leaving
+		m.before = nil
+		for i := range m.Lower {
+			m.Lower[i].taken = false
+		}
+		pl.index.put(m)
+	}
+}
+
+// count adds to the tasks of a job that may exist in a zone and on a machine.
+func (pl *planner) count(j *Job, zone, name string, n int) {
+	pl.undo = append(pl.undo, func() { j.Count(zone, name, -n) })
+	j.Count(zone, name, n)
+}
+
+// Count adds to the tasks of a job that may exist in a zone and, unless the
+// name is empty, on a machine. An empty zone is one that is not known.
+func (j *Job) Count(zone, name string, n int) {
 	if j.Zones == nil {
 		j.Zones = map[string]int{}
 	}
 	if j.Machines == nil {
 		j.Machines = map[string]int{}
 	}
-	j.Zones[m.Yard]++
-	j.Machines[m.Name]++
+	if zone == "" {
+		j.Anywhere += n
+	} else if j.Zones[zone] += n; j.Zones[zone] == 0 {
+		delete(j.Zones, zone)
+	}
+	if name == "" {
+		return
+	}
+	if j.Machines[name] += n; j.Machines[name] == 0 {
+		delete(j.Machines, name)
+	}
+}
+
+// use adds a task to its team's use, or takes it off.
+func (pl *planner) use(j *Job, sign float64) {
+	q := pl.Team[j.Team]
+	if q == nil {
+		return
+	}
+	cores, accel := q.Cores, q.Accel
+	pl.undo = append(pl.undo, func() { q.Cores, q.Accel = cores, accel })
+	q.Cores += sign * j.Cores
+	q.Accel += sign * j.Accel
+}
+
+func (pl *planner) book(j *Job, m *Machine) {
+	pl.save(m)
+	m.Cores -= j.Cores
+	m.Accel -= j.Accel
+	m.RAM -= j.RAM
+	pl.index.put(m)
+	pl.use(j, 1)
+	pl.count(j, m.Yard, m.Name, 1)
 }
 
 // barelyBegun is how much progress may be lost to spare an urgent task the
@@ -457,7 +639,14 @@
 	var best *Machine
 	var bestCost clock.Micros
 	var bestSet []int
-	for _, m := range pl.pool() {
+	lost := func(v *Victim) clock.Micros {
+		if v.Since == 0 {
+			return 0
+		}
+		return pl.Now - v.Since
+	}
+	for _, m := range pl.some64(pl.index.kinds(j)) {
+		pl.out.Visits++
 		if !pl.allowed(j, m) || warm && (m.Images[j.Bundle] != ImageHeld || j.Standing && j.Machines[m.Name] > 0) {
 			continue
 		}
@@ -469,11 +658,11 @@
 				break
 			}
 			v := &m.Lower[i]
-			if v.taken || warm && !j.Standing && v.Lost > barelyBegun || !(v.Rank < j.Rank || v.Borrowed && j.Entitled) {
+			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !(v.Rank < j.Rank || j.Entitled && pl.borrowed(v)) {
 				continue
 			}
 			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
-			cost += v.Lost + clock.Second
+			cost += lost(v) + clock.Second
 			set = append(set, i)
 		}
 		if enough(j, cores, accel, ram) && (best == nil || cost < bestCost) {
@@ -483,6 +672,7 @@
 	if best == nil {
 		return false
 	}
+	pl.save(best)
 	for _, i := range bestSet {
 		v := &best.Lower[i]
 		v.taken = true
@@ -496,17 +686,21 @@
 	claim(&best.StopCores, &best.Cores, j.Cores)
 	claim(&best.StopAccel, &best.Accel, j.Accel)
 	claim(&best.StopRAM, &best.RAM, j.RAM)
-	if q := pl.Team[j.Team]; q != nil {
-		q.Cores += j.Cores
-		q.Accel += j.Accel
-	}
-	if j.Zones == nil {
-		j.Zones = map[string]int{}
-	}
-	j.Zones[best.Yard]++
+	pl.index.put(best)
+	pl.use(j, 1)
+	pl.count(j, best.Yard, "", 1)
 	return true
 }
 
+// borrowed tells whether a task runs beyond its team's guarantee.
+func (pl *planner) borrowed(v *Victim) bool {
+	if v.Borrowed || v.Job == nil || v.Job.Entitled {
+		return v.Borrowed
+	}
+	q := pl.Team[v.Job.Team]
+	return q != nil && (q.CoresMin > 0 && q.Cores > q.CoresMin+slop || q.AccelMin > 0 && q.Accel > q.AccelMin+slop)
+}
+
 func claim(coming, free *float64, want float64) {
 	take := min(*coming, want)
 	*coming -= take
@@ -532,48 +726,35 @@
 	}
 	var moves []chosen
 	for _, c := range cands {
-		from := pl.byName[c.Machine]
-		// The rules count the task itself at its source; a move takes it away there.
-		if from != nil {
-			c.Job.Zones[from.Yard]--
-			c.Job.Machines[from.Name]--
-		}
-		q := pl.Team[c.Job.Team]
-		if q != nil {
-			q.Cores -= c.Job.Cores
-			q.Accel -= c.Job.Accel
+		from := pl.index.byName[c.Machine]
+		if from == nil {
+			continue
 		}
+		// The rules count the task itself at its source; a move takes it away there.
+		pl.count(c.Job, from.Yard, from.Name, -1)
+		pl.use(c.Job, -1)
 		var m *Machine
-		if from == nil || pl.stays(c, from) {
-			m = nil
-		} else if c.Job.SamePlace && c.Job.Pieces > 1 {
+		switch {
+		case pl.stays(c, from):
+		case c.Job.SamePlace && c.Job.Pieces > 1:
 			m = pl.target(c.Job, from.Yard, from)
-		} else {
+		default:
 			m = pl.target(c.Job, "", from)
 		}
+		// Until the stop is confirmed the task is still where it was: it counts
+		// against the zone cap and the limit in both places.
 		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason == ReasonDrain && m.Images[c.Job.Bundle] != ImageHeld {
-			if from != nil {
-				c.Job.Zones[from.Yard]++
-				c.Job.Machines[from.Name]++
-			}
-			if q != nil {
-				q.Cores += c.Job.Cores
-				q.Accel += c.Job.Accel
-			}
+			pl.count(c.Job, from.Yard, from.Name, 1)
+			pl.use(c.Job, 1)
 			if c.Reason != ReasonDrain {
 				pl.out.Violations++
 			}
 			continue
 		}
 		pl.book(c.Job, m)
-		// Until the stop is confirmed the task is still where it was: it counts
-		// against the zone cap and the limit in both places.
-		c.Job.Zones[from.Yard]++
-		c.Job.Machines[from.Name]++
-		if q != nil {
-			q.Cores += c.Job.Cores
-			q.Accel += c.Job.Accel
-		}
+		pl.count(c.Job, from.Yard, from.Name, 1)
+		pl.use(c.Job, 1)
+		pl.save(from)
 		from.leaving++
 		moves = append(moves, chosen{c, m})
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -108,7 +108,7 @@
 	if got := Make(p).Launch; len(got) != 0 {
 		t.Fatalf("part of a gang launched: %v", got)
 	}
-	p.Machines = append(p.Machines, machine("c", "y", 4, 32))
+	p.Put(machine("c", "y", 4, 32))
 	got := Make(p).Launch
 	if len(got) != 3 {
 		t.Fatalf("launched %v", got)
@@ -130,7 +130,7 @@
 	if p.Machines[0].Cores != 8 || len(j.Zones) != 0 {
 		t.Errorf("room of a group that was not placed is still booked: %+v", p.Machines[0])
 	}
-	p.Machines = append(p.Machines, machine("b", "y", 4, 32))
+	p.Put(machine("b", "y", 4, 32))
 	if got := Make(p).Launch; len(got) != 3 {
 		t.Fatalf("launched %v, want all", got)
 	}
@@ -183,11 +183,11 @@
 
 func TestPreemption(t *testing.T) {
 	m := machine("a", "x", 0, 10)
-	m.Lower = []Victim{{Task: TaskID{"j-1", 0}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Lost: 3},
-		{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Lost: 9}}
+	m.Lower = []Victim{{Task: TaskID{"j-1", 0}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Since: 97},
+		{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Since: 91}}
 	urgent, equal := newJob("j-2", 2, 4, 4), newJob("j-3", 1, 4, 4)
 	urgent.Rank = wire.RankHigh
-	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{
+	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{
 		{Job: urgent, Indexes: indexes(2)}, {Job: equal, Indexes: indexes(1)}}})
 	want := []TaskID{{"j-1", 0}}
 	if diff := cmp.Diff(want, res.Preempt); diff != "" {
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -16,8 +16,8 @@
 
 // Quota is a team's use, limit and guarantee; 0 means none.
 type Quota struct {
-	Cores, CoresMax float64
-	Accel, AccelMax float64
+	Cores, CoresMax, CoresMin float64
+	Accel, AccelMax, AccelMin float64
 }
 
 // Rule says whether one more task of a job may be on a machine, given the picture.
@@ -27,7 +27,7 @@
 
 // Rules is every hard rule that a placement must keep.
 func Rules() []Rule {
-	return []Rule{Ban{}, AllowedType{}, AllowedZone{}, AllowedKind{}, ZoneCap{}, OneZone{}, TeamLimit{}}
+	return []Rule{Ban{}, Held{}, AllowedType{}, AllowedZone{}, AllowedKind{}, ZoneCap{}, OneZone{}, TeamLimit{}}
 }
 
 // Ban bars tasks from machines that do not report, are sick or are to be emptied.
@@ -38,6 +38,12 @@
 	return m.Usable && m.Banned == "" && !m.Cordoned
 }
 
+// Held keeps the room of a machine for the job that has waited too long for it.
+type Held struct{}
+
+// Allows implements Rule.
+func (Held) Allows(_ *Picture, j *Job, m *Machine) bool { return m.Held == "" || m.Held == j.UID }
+
 // AllowedType keeps a job to its machine types.
 type AllowedType struct{}
 
@@ -66,7 +72,7 @@
 
 // Allows implements Rule.
 func (ZoneCap) Allows(_ *Picture, j *Job, m *Machine) bool {
-	return !j.Apart || j.Zones[m.Yard] < (j.Pieces+1)/2
+	return !j.Apart || j.Zones[m.Yard]+j.Anywhere < (j.Pieces+1)/2
 }
 
 // OneZone keeps a same_place job in the zone where any of it may be.
@@ -77,6 +83,9 @@
 	if !j.SamePlace {
 		return true
 	}
+	if j.Anywhere > 0 {
+		return false
+	}
 	for z, n := range j.Zones {
 		if n > 0 && z != m.Yard {
 			return false
--- a/silent.go
+++ b/silent.go
@@ -8,84 +8,147 @@
 	"cedardoor/wire"
 )
 
-// probeTimeout is how long a silent worker may take to answer.
+// probeTimeout is how long a worker may take to answer a question.
 const probeTimeout = 700 * clock.Millisecond
 
-// deafAfter is how many questions in a row a silent worker must fail to answer.
-const deafAfter = 2
+// muteAfter is how many questions in a row a silent worker must fail to answer.
+const muteAfter = 2
+
+// maxProbes bounds the questions to workers in flight.
+const maxProbes = 24
+
+// few tells whether so many machines may be at fault themselves: when many
+// seem to be at once, the fault is rather this controller's network, and no
+// machine is given up for it. The caller holds mu.
+func (g *reign) few(n int) bool { return n <= max(2, g.fl.Len()/5) }
 
 // probeSilent asks workers that have gone silent for a sign of life. A machine
 // with replicas that gives none is returned to the cloud: its 200 proves the
 // replicas gone, so that they start elsewhere long before the machine's lease
-// would have run out. When many machines are silent at once the fault is
-// rather this controller's network, and nothing is returned.
+// would have run out. Deaf machines are returned too: their reports go on, so
+// that counting what their lease might have been extended to would never end.
 func (g *reign) probeSilent(ctx context.Context) {
 	now := g.ck.Now()
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now-g.probedAt < tick {
+		return
+	}
+	g.probedAt = now
 	if _, may := g.el.MayOrder(); !may || !g.op.Fleet.Enabled {
 		return
 	}
 	var silent []*fleet.Machine
-	heard := 0
-	for _, m := range g.fl.Machines() {
-		switch {
-		case m.Returning:
-		case !m.Beaten:
-			// Recorded by a predecessor, and silent since: with leaders changing, each
-			// would wait out a whole lease anew. Machines that boot hold nothing and
-			// are not silent; counting them once kept a hung one from being returned.
-			if m.Endpoint != "" && len(m.Bookings) > 0 && now-g.r.Since > 2*report+2*clock.Second && !m.Lapsed(now) {
+	for _, m := range g.fl.Hush(now, report+report/4+300*clock.Millisecond) {
+		if !m.Returning && !m.Lapsed(now) {
+			silent = append(silent, m)
+		}
+	}
+	// Recorded by a predecessor, and silent since: with leaders changing, each
+	// would wait out a whole lease anew. Machines that boot hold nothing and are
+	// not silent; counting them once kept a hung one from being returned.
+	if now-g.r.Since > 2*report+2*clock.Second {
+		for m := range g.unheard {
+			if m.Beaten || m.Bookings() == 0 || g.fl.Machine(m.Name) != m {
+				delete(g.unheard, m)
+			} else if m.Endpoint != "" && !m.Returning && !m.Lapsed(now) {
 				silent = append(silent, m)
 			}
-		case now-m.LastBeat <= report+report/4+300*clock.Millisecond:
-			heard++
-		case !m.Lapsed(now):
-			silent = append(silent, m)
 		}
 	}
-	if len(silent) > max(2, heard/5) || heard == 0 {
-		return
+	if g.few(len(silent)) && now-g.heard < report {
+		for _, m := range silent {
+			if g.hasReplica(m) {
+				g.ask(m)
+			}
+		}
 	}
-	for _, m := range silent {
-		if m.Probing || !g.hasReplica(m) {
-			continue
+	if g.deaf > 0 && g.few(g.deaf) {
+		var names []string
+		for name, pm := range g.deafOnes() {
+			if !pm.Returning && len(names) < wire.MaxReturn {
+				pm.Returning = true
+				g.touched[pm] = true
+				names = append(names, name)
+			}
+		}
+		if len(names) > 0 {
+			g.log.Info("machines are deaf: returning them", "hosts", names)
+			go g.giveBack(ctx, names)
 		}
-		m.Probing = true
-		g.log.Debug("machine is silent", "host", m.Name, "for", (now - m.LastBeat).Seconds(), "deaf", m.Deaf)
-		go g.probe(ctx, m, m.Endpoint)
 	}
 }
 
+// deafOnes finds the machines that are banned as deaf. The caller holds mu.
+func (g *reign) deafOnes() map[string]*fleet.Machine {
+	out := map[string]*fleet.Machine{}
+	g.fl.All(func(m *fleet.Machine) {
+		if m.Banned == banDeaf {
+			out[m.Name] = m
+		}
+	})
+	return out
+}
+
 // hasReplica tells whether a replica may be on a machine. The caller holds mu.
 func (g *reign) hasReplica(m *fleet.Machine) bool {
 	found := false
 	m.Each(func(b *fleet.Booking) {
-		j := g.jobs[b.Piece.Job]
-		found = found || b.Live() && j != nil && j.standing() && !j.cancelled
+		j, known := b.Tag.(*job)
+		found = found || b.Live() && known && j.standing() && !j.cancelled
 	})
 	return found
 }
 
-func (g *reign) probe(ctx context.Context, m *fleet.Machine, endpoint string) {
+// askOld asks a worker whose report is older than what is known of it, now and
+// then: only its answer tells a late copy from a new process that counts from
+// the start again. The caller holds mu.
+func (g *reign) askOld(m *fleet.Machine, now clock.Micros) {
+	if at, asked := g.probed[m.Name]; asked && now-at < clock.FromSeconds(g.cfg.Facts.Workers.ReportS) {
+		return
+	}
+	if len(g.probed) > 4096 {
+		clear(g.probed)
+	}
+	g.probed[m.Name] = now
+	g.ask(m)
+}
+
+// ask asks a worker for its report. The caller holds mu.
+func (g *reign) ask(m *fleet.Machine) {
+	if m.Probing || m.Endpoint == "" || m.Returning || g.probes >= maxProbes || g.ctx == nil {
+		return
+	}
+	m.Probing = true
+	g.probes++
+	g.log.Debug("worker is asked for its report", "host", m.Name, "silent", (g.ck.Now() - m.LastBeat).Seconds(), "mute", m.Mute)
+	go g.probe(g.ctx, m, m.Endpoint, m.Mark())
+}
+
+func (g *reign) probe(ctx context.Context, m *fleet.Machine, endpoint string, known wire.Mark) {
 	pctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	rep, err := g.workers.Show(pctx, endpoint)
 	cancel()
 	now := g.ck.Now()
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
 	m.Probing = false
+	g.probes--
 	giveUp := false
-	if err == nil && rep.Host == m.Name {
-		m.Deaf = 0
-		g.log.Debug("silent machine answers", "host", m.Name, "tenure", rep.Tenure)
-		news, _ := g.fl.Report(now, rep, false)
-		g.news(news, now)
-	} else if ctx.Err() == nil {
-		m.Deaf++
-		giveUp = m.Deaf >= deafAfter && !m.Returning
+	switch {
+	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
+	case err == nil && rep.Host == m.Name:
+		g.news(g.fl.Answers(now, known, rep), now)
+		g.wake()
+	case now-m.LastBeat < report && !m.Suspect:
+		// It reports: only this question was lost.
+	default:
+		m.Mute++
+		giveUp = m.Mute >= muteAfter && !m.Returning && g.hasReplica(m)
 		if giveUp {
 			m.Returning = true
+			g.touched[m] = true
 			g.log.Info("machine is silent and holds replicas: returning it", "host", m.Name)
 		}
 	}
@@ -95,27 +158,33 @@
 	}
 }
 
-// deafReports is how many report intervals without any beat make a leader
+// cutReports is how many report intervals without any beat make a leader
 // believe that it is cut off from the workers.
-const deafReports = 3
+const cutReports = 3
 
-// abdicate gives leadership up when no worker at all is heard any more: this
-// node may be cut off from them while another is not. If nobody hears them,
-// leadership goes round, which harms nothing.
+// abdicate gives leadership up when no worker at all is heard any more, or
+// none hears: this node may be cut off from them while another is not. If
+// nobody reaches them, leadership goes round, which harms nothing.
 func (g *reign) abdicate() {
 	now := g.ck.Now()
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
-	expected := 0
-	for _, m := range g.fl.Machines() {
-		if m.Beaten || len(m.Bookings) > 0 || m.Listed == wire.HostRunning {
-			expected++
-		}
-	}
-	deaf := expected >= 2 && now-max(g.heard, g.r.Since) > deafReports*report+clock.Second
+	silent := g.fl.Len() >= 2 && now-max(g.heard, g.r.Since) > cutReports*report+clock.Second
+	unheard := g.deaf >= 3 && 2*g.deaf > g.fl.Len()
+	silent = silent && g.expected() >= 2
 	g.mu.Unlock()
-	if deaf {
-		g.log.Info("no worker is heard: giving leadership up", "expected", expected)
+	if silent || unheard {
+		g.log.Info("no worker is heard, or none hears: giving leadership up", "deaf", g.deaf)
 		g.el.Abdicate()
 	}
 }
+
+// expected counts the machines that ought to report. The caller holds mu.
+func (g *reign) expected() (n int) {
+	g.fl.All(func(m *fleet.Machine) {
+		if m.Beaten || m.Bookings() > 0 || m.Listed == wire.HostRunning {
+			n++
+		}
+	})
+	return n
+}
--- a/sizing.go
+++ b/sizing.go
@@ -107,6 +107,9 @@
 	return true
 }
 
+// maxGone bounds the names of returned machines that are remembered.
+const maxGone = 8192
+
 // readList takes the cloud's list in. It lags, so a machine is dropped only
 // when nothing can be on it and it has not reported for a while.
 func (g *reign) readList(ctx context.Context) error {
@@ -119,10 +122,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listed := map[string]bool{}
-	for name, at := range g.gone {
-		if now-at > 4*lag+30*clock.Second {
-			delete(g.gone, name)
-		}
+	for len(g.goneList) > maxGone {
+		delete(g.gone, g.goneList[0])
+		g.goneList = g.goneList[1:]
 	}
 	for _, h := range hosts {
 		if _, gone := g.gone[h.UID]; gone {
@@ -135,12 +137,9 @@
 			m.FirstSeen = now - clock.FromSeconds(h.HeldS)
 		}
 		if m.Yard == "" {
-			m.Endpoint, m.Build, m.Yard, m.Loaned = h.Endpoint, h.Build, h.Yard, h.Loaned
+			g.fl.Place(m, h.Endpoint, h.Build, h.Yard, h.Loaned)
 		}
 		m.Listed, m.ListedAt = h.Status, now
-		for _, p := range g.pending {
-			delete(p.hosts, h.UID)
-		}
 	}
 	g.fl.SetCatalog(g.catalog)
 	for _, m := range g.fl.Machines() {
@@ -148,13 +147,13 @@
 			continue
 		}
 		quiet := m.LastBeat == 0 || now-m.LastBeat > 2*lag
-		if quiet && now-m.FirstSeen > 3*lag && now-m.ListedAt > 3*lag && m.Lapsed(now) && len(m.Bookings) == 0 {
+		if quiet && now-m.FirstSeen > 3*lag && now-m.ListedAt > 3*lag && m.Lapsed(now) && m.Bookings() == 0 {
 			g.fl.Drop(m.Name)
 		}
 	}
 	for name, p := range g.pending {
 		for h, at := range p.hosts {
-			if m := g.fl.Machine(h); m != nil && m.Beaten || now-at > 4*lag {
+			if m := g.fl.Machine(h); listed[h] || m != nil && m.Beaten || now-at > 4*lag {
 				delete(p.hosts, h)
 			}
 		}
@@ -359,15 +358,15 @@
 	var giveUp []string
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	for _, m := range g.fl.Machines() {
-		if m.Build == "" {
-			continue
+		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
+			continue // nothing but an old report may speak of it
 		}
 		h := cloud.Held{Name: m.Name, Build: m.Build, Yard: m.Yard, Loaned: m.Loaned, Up: m.Beaten, Cordoned: m.Cordoned,
 			UsedCores: m.UsedCores, UsedRAM: m.UsedRAM, Age: now - m.FirstSeen}
 		m.Each(func(b *fleet.Booking) {
 			if b.Live() {
 				h.Live++
-				if j := g.jobs[b.Piece.Job]; j != nil && j.standing() {
+				if j, known := b.Tag.(*job); known && j.standing() {
 					h.Standing++
 				}
 				if !b.Loaned {
@@ -391,8 +390,11 @@
 			!m.Beaten && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since) > silent ||
 			(m.Banned == "sick" || m.Banned == "slow") && h.Live == 0 ||
 			m.Returning
-		if dead {
+		if dead && !m.Returning {
 			m.Returning = true
+			g.touched[m] = true
+		}
+		if dead {
 			giveUp = append(giveUp, m.Name)
 		}
 	}
@@ -421,14 +423,17 @@
 	v := cloud.Size(g.catalog.Builds, held, need, refused)
 	for _, name := range v.Cordon {
 		g.fl.Machine(name).Cordoned = true
+		g.touched[g.fl.Machine(name)] = true
 	}
 	for _, name := range v.Uncordon {
 		g.fl.Machine(name).Cordoned = false
+		g.touched[g.fl.Machine(name)] = true
 	}
 	for _, name := range v.Return {
 		m := g.fl.Machine(name)
 		if m.LiveCount() == 0 && m.Cordoned {
 			m.Returning = true
+			g.touched[m] = true
 			giveUp = append(giveUp, name)
 		}
 	}
@@ -465,6 +470,9 @@
 	defer g.mu.Unlock()
 	for _, name := range names {
 		g.news(g.fl.Returned(name, now), now)
+		if _, known := g.gone[name]; !known {
+			g.goneList = append(g.goneList, name)
+		}
 		g.gone[name] = now
 	}
 	g.log.Info("machines returned", "hosts", fmt.Sprint(names))
--- a/step.go
+++ b/step.go
@@ -1,9 +1,11 @@
 package cedardoor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 
 	"cedardoor/clock"
@@ -22,31 +24,36 @@
 // maxTxn keeps a transaction well under the service's 64 KiB.
 const maxTxn = 44 << 10
 
-// loop plans, records and orders until ctx ends.
+// loop plans, records and orders until ctx ends. What happens while a pass is
+// made is gathered into the next, and passes take at most a part of the
+// processor however fast events come.
 func (g *reign) loop(ctx context.Context) {
 	tk := g.ck.NewTicker(tick.Duration())
 	defer tk.Stop()
+	pause := wakePause
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.kick:
-			g.sleep(ctx, wakePause)
+			g.sleep(ctx, pause)
 		case <-tk.Chan():
 		}
-		g.step(ctx)
+		pause = max(wakePause, min(3*g.step(ctx), tick))
 	}
 }
 
-// step is one pass: prove, plan, record, order.
-func (g *reign) step(ctx context.Context) {
+// step is one pass: prove, plan, record, order. It gives the time that
+// planning took.
+func (g *reign) step(ctx context.Context) (took clock.Micros) {
 	g.mu.Lock()
 	now := g.ck.Now()
 	g.news(g.fl.Expire(now), now)
-	g.judgeMachines(now)
+	g.hush(now)
 	if _, may := g.el.MayOrder(); may {
 		g.plan(now)
 	}
+	took = g.ck.Now() - now
 	g.mu.Unlock()
 	// Everything that changed is recorded, in as many transactions as it takes.
 	for range 50 {
@@ -57,134 +64,166 @@
 			break
 		}
 		if !g.record(ctx, w) {
-			return
+			return took
 		}
+		// Commands go out as soon as what they need is durable.
+		g.dispatch(ctx)
 	}
 	g.dispatch(ctx)
 	g.probeSilent(ctx)
 	g.abdicate()
 	g.fence(ctx)
+	return took
+}
+
+// hush finds the machines that have fallen silent, now and then: nothing is
+// placed on them. The caller holds mu.
+func (g *reign) hush(now clock.Micros) {
+	if now-g.hushAt < tick {
+		return
+	}
+	g.hushAt = now
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
+	for _, m := range g.fl.Hush(now, 2*report) {
+		if !m.Hushed {
+			m.Hushed = true
+			g.touched[m] = true
+		}
+	}
 }
 
 // usable tells whether a machine may be given tasks.
 func (g *reign) usable(m *fleet.Machine, now clock.Micros) bool {
-	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
-	return m.Beaten && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && now-m.LastBeat < 2*report
+	return m.Beaten && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0
 }
 
-// judgeMachines bans machines that have a notice, and lifts that ban with it.
-// The caller holds mu.
-func (g *reign) judgeMachines(now clock.Micros) {
-	for _, m := range g.fl.Machines() {
-		switch {
-		case m.WarnUntil > 0 && m.Banned == "":
-			m.Banned = "notice"
-		case m.WarnUntil == 0 && m.Banned == "notice":
-			m.Banned = ""
-		case m.Banned == "" && m.SlowN >= 3 && m.Slow > 1.6:
-			m.Banned = "slow"
-			g.log.Info("machine is slow", "host", m.Name, "factor", fmt.Sprintf("%.2f", m.Slow))
-		}
+// judge bans a machine that has a notice, is slow or does not hear, and lifts
+// the ban when its reason ends. The caller holds mu.
+func (g *reign) judge(m *fleet.Machine) {
+	if m.Banned == banDeaf && !m.Deaf() {
+		m.Banned = ""
+		g.deaf--
+		g.log.Info("machine hears again", "host", m.Name)
+	}
+	switch {
+	case m.WarnUntil > 0 && m.Banned == "":
+		m.Banned = "notice"
+	case m.WarnUntil == 0 && m.Banned == "notice":
+		m.Banned = ""
+	case m.Banned == "" && m.SlowN >= 3 && m.Slow > 1.6:
+		m.Banned = "slow"
+		g.log.Info("machine is slow", "host", m.Name, "factor", fmt.Sprintf("%.2f", m.Slow))
+	}
+	if m.Deaf() && m.Banned == "" {
+		m.Banned = banDeaf
+		g.deaf++
+		g.log.Info("machine is deaf: it reports, but nothing told to it takes effect", "host", m.Name)
 	}
 }
 
+// banDeaf marks machines whose reports come while nothing reaches them.
+const banDeaf = "deaf"
+
 // stopSoon is how long the room of a task that was told to stop is waited for.
 const stopSoon = 3 * clock.Second
 
-// picture is the snapshot that the planner works on. The caller holds mu.
-func (g *reign) picture(now clock.Micros, round bool) *plan.Picture {
-	g.seq++
-	p := &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: g.op.Repair.Restarts, Sample: g.op.Plan.Sample, Seed: g.seq, Preempt: true}
-	for name, t := range g.teams {
-		p.Team[name] = &plan.Quota{CoresMax: t.CPUsMax, AccelMax: t.AccelMax}
-	}
-	jobs := map[string]*plan.Job{}
-	planJob := func(j *job) *plan.Job {
-		pj := jobs[j.uid]
-		if pj == nil {
-			s := &j.spec
-			pj = &plan.Job{UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
-				Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Yard: s.Yard, SamePlace: s.SamePlace,
-				Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Started: j.started, Group: j.group(), Left: len(j.pieces) - j.done,
-				Zones: map[string]int{}, Machines: map[string]int{}}
-			if s.DueS != nil {
-				left := clock.Micros(j.at) + clock.FromSeconds(*s.DueS) - g.ck.Wall()
-				pj.Slack = max(0, left-clock.FromSeconds(s.ExpectS))
-			} else {
-				pj.Slack = 1 << 60
-			}
-			jobs[j.uid] = pj
+// refresh brings the picture up to date with a machine. The caller holds mu.
+func (g *reign) refresh(m *fleet.Machine, now clock.Micros) (again bool) {
+	pm := g.pic.Machine(m.Name)
+	if g.fl.Machine(m.Name) != m {
+		if m.Banned == banDeaf {
+			g.deaf--
+			m.Banned = ""
+		}
+		if g.fl.Machine(m.Name) == nil && pm != nil {
+			g.pic.Drop(m.Name)
 		}
-		return pj
+		delete(g.toTell, m)
+		delete(g.unheard, m)
+		return false
 	}
-	for _, m := range g.fl.Machines() {
-		c, a, r := m.Free()
-		pm := &plan.Machine{Name: m.Name, Build: m.Build, Yard: m.Yard, Loaned: m.Loaned, Cores: c, Accel: a, RAM: r,
-			Usable: g.usable(m, now), Banned: m.Banned, Cordoned: m.Cordoned, Images: map[string]plan.Image{}}
-		for b, whole := range m.Images {
-			pm.Images[b] = plan.ImageComing
-			if whole {
-				pm.Images[b] = plan.ImageHeld
-			}
+	g.judge(m)
+	if pm == nil {
+		pm = &plan.Machine{Name: m.Name, Images: map[string]plan.Image{}}
+	}
+	c, a, r := m.Free()
+	pm.Build, pm.Yard, pm.Loaned, pm.Cores, pm.Accel, pm.RAM = m.Build, m.Yard, m.Loaned, c, a, r
+	pm.Usable, pm.Banned, pm.Cordoned, pm.Held = g.usable(m, now), m.Banned, m.Cordoned, g.holds[m.Name]
+	for b := range pm.Images {
+		if _, still := m.Images[b]; !still {
+			delete(pm.Images, b)
 		}
-		m.Each(func(b *fleet.Booking) {
-			if !b.Live() {
-				return
-			}
-			if q := p.Team[g.owner(b)]; q != nil {
-				q.Cores += b.Cores
-				q.Accel += b.Accel
-			}
-			j := g.jobs[b.Piece.Job]
-			if j == nil {
-				return
-			}
-			pj := planJob(j)
-			if m.Yard == "" {
-				// Not known where it is: it counts everywhere.
-				for _, z := range g.cfg.Facts.Zones {
-					pj.Zones[z]++
-				}
-			} else {
-				pj.Zones[m.Yard]++
-			}
-			pj.Machines[m.Name]++
-			if b.Halt && now-b.HaltAt > stopSoon {
-				return // it does not obey: its room may be long in coming
-			}
-			if b.Halt {
+	}
+	for b, whole := range m.Images {
+		pm.Images[b] = plan.ImageComing
+		if whole {
+			pm.Images[b] = plan.ImageHeld
+		}
+	}
+	pm.StopCores, pm.StopAccel, pm.StopRAM = 0, 0, 0
+	pm.Lower = pm.Lower[:0]
+	m.Each(func(b *fleet.Booking) {
+		if !b.Live() {
+			return
+		}
+		if b.Halt {
+			// One that does not obey leaves room that may be long in coming.
+			if now-b.HaltAt <= stopSoon {
+				again = true
 				pm.StopCores += b.Cores
 				pm.StopAccel += b.Accel
 				pm.StopRAM += b.RAM
-				return
-			}
-			pc := &j.pieces[b.Piece.Index]
-			if j.standing() || j.group() || j.cancelled || pc.booking != b {
-				return
 			}
-			v := plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Rank: j.rank, Cores: b.Cores, Accel: b.Accel, RAM: b.RAM}
-			if b.Running > 0 {
-				v.Lost = now - b.Running
-			}
-			pm.Lower = append(pm.Lower, v)
-		})
-		sort.SliceStable(pm.Lower, func(i, k int) bool {
-			a, b := &pm.Lower[i], &pm.Lower[k]
-			if a.Rank != b.Rank {
-				return a.Rank < b.Rank
-			}
-			return a.Lost < b.Lost
-		})
-		p.Machines = append(p.Machines, pm)
+			return
+		}
+		j, ok := b.Tag.(*job)
+		if !ok || j.standing() || j.group() || j.cancelled || j.pieces[b.Piece.Index].booking != b {
+			return
+		}
+		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Job: j.pj, Rank: j.rank,
+			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running})
+	})
+	slices.SortStableFunc(pm.Lower, func(a, b plan.Victim) int {
+		// Least progress first: not begun, then begun last.
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
+	})
+	g.pic.Put(pm)
+	return again
+}
+
+func zeroLast(t clock.Micros) clock.Micros {
+	if t == 0 {
+		return 1 << 62
+	}
+	return t
+}
+
+// agedAfter is how long a job may wait with no task begun before a few of its
+// tasks go before work of higher rank.
+const agedAfter = 75 * clock.Second
+
+// picture readies the picture for a plan: what was touched is brought up to
+// date, and the tasks that wait are listed. The caller holds mu.
+func (g *reign) picture(now clock.Micros, round bool) *plan.Picture {
+	p := g.pic
+	g.seq++
+	p.Seed, p.Now = g.seq, now
+	for m := range g.touched {
+		if !g.refresh(m, now) {
+			delete(g.touched, m)
+		}
 	}
-	g.entitle(p, planJob)
+	p.Waiting, p.Candidates = p.Waiting[:0], p.Candidates[:0]
+	g.entitle(now)
+	wall := g.ck.Wall()
 	const perPass = 400 // tasks of one job offered to one pass
-	for _, j := range g.sortedJobs() {
+	for j := range g.queue {
+		j.prune()
 		if j.cancelled || len(j.waiting) == 0 {
+			delete(g.queue, j)
 			continue
 		}
-		j.prune()
-		var idx []int
+		idx := make([]int, 0, min(len(j.waiting), perPass))
 		lost := false
 		for _, i := range j.waiting {
 			if j.pieces[i].notBefore > now {
@@ -196,27 +235,36 @@
 				break
 			}
 		}
-		if len(idx) > 0 {
-			p.Waiting = append(p.Waiting, plan.Waiting{Job: planJob(j), Indexes: idx, Lost: lost})
+		if len(idx) == 0 {
+			continue
+		}
+		pj := j.pj
+		pj.Started, pj.Left = j.started, len(j.pieces)-j.done
+		pj.Aged = !j.standing() && !j.started && clock.Micros(j.at)+agedAfter < wall
+		if j.spec.DueS != nil {
+			left := clock.Micros(j.at) + clock.FromSeconds(*j.spec.DueS) - wall
+			pj.Slack = max(0, left-clock.FromSeconds(j.spec.ExpectS))
 		}
+		p.Waiting = append(p.Waiting, plan.Waiting{Job: pj, Indexes: idx, Lost: lost})
 	}
+	// The planner's order has no ties, so that of the map does not matter.
 	if round {
-		g.candidates(p, planJob, now)
+		g.candidates(p)
 	}
 	return p
 }
 
-// owner is the team that a booking counts for.
-func (g *reign) owner(b *fleet.Booking) string {
-	if j := g.jobs[b.Piece.Job]; j != nil {
-		return j.spec.Owner
-	}
-	return ""
-}
-
 // entitle marks the jobs that fit into their team's guarantee together with
-// the team's earlier ones.
-func (g *reign) entitle(p *plan.Picture, planJob func(*job) *plan.Job) {
+// the team's earlier ones, where there are guarantees at all, once a second.
+func (g *reign) entitle(now clock.Micros) {
+	some := false
+	for _, t := range g.teams {
+		some = some || t.CPUs > 0 || t.Accel > 0
+	}
+	if !some || now-g.entitled < clock.Second && !g.fresh {
+		return
+	}
+	g.entitled = now
 	type used struct{ cores, accel float64 }
 	sum := map[string]used{}
 	for _, j := range g.sortedJobs() {
@@ -229,16 +277,7 @@
 		u.cores += n * j.spec.Cores
 		u.accel += n * j.spec.Accel
 		sum[j.spec.Owner] = u
-		planJob(j).Entitled = u.cores <= t.CPUs+1e-6 && u.accel <= t.Accel+1e-6
-	}
-	for _, m := range p.Machines {
-		for i := range m.Lower {
-			j := g.jobs[m.Lower[i].Task.Job]
-			t := g.teams[j.spec.Owner]
-			if q := p.Team[j.spec.Owner]; q != nil {
-				m.Lower[i].Borrowed = !planJob(j).Entitled && (q.Cores > t.CPUs+1e-6 || q.Accel > t.Accel+1e-6)
-			}
-		}
+		j.pj.Entitled = u.cores <= t.CPUs+1e-6 && u.accel <= t.Accel+1e-6
 	}
 }
 
@@ -249,11 +288,12 @@
 // candidates lists the placed tasks on offending machines or in broken rules.
 // Batch tasks that could not save are left to finish on a machine that still
 // works: stopping them would lose what repair is meant to protect.
-func (g *reign) candidates(p *plan.Picture, planJob func(*job) *plan.Job, now clock.Micros) {
+func (g *reign) candidates(p *plan.Picture) {
+	now := p.Now
 	for _, m := range g.fl.Machines() {
 		m.Each(func(b *fleet.Booking) {
-			j := g.jobs[b.Piece.Job]
-			if !b.Live() || b.Halt || j == nil || j.cancelled || j.group() {
+			j, known := b.Tag.(*job)
+			if !b.Live() || b.Halt || !known || j.cancelled || j.group() {
 				return
 			}
 			pc := &j.pieces[b.Piece.Index]
@@ -266,12 +306,12 @@
 				reason = plan.ReasonBan
 			case m.Cordoned && j.standing() && now-b.Since > settled:
 				reason = plan.ReasonDrain
-			case j.standing() && planJob(j).Machines[m.Name] > 1:
+			case j.standing() && j.pj.Machines[m.Name] > 1:
 				reason = plan.ReasonSpread
 			default:
 				return
 			}
-			p.Candidates = append(p.Candidates, plan.Candidate{Job: planJob(j), Index: b.Piece.Index, Machine: m.Name, Reason: reason})
+			p.Candidates = append(p.Candidates, plan.Candidate{Job: j.pj, Index: b.Piece.Index, Machine: m.Name, Reason: reason})
 		})
 	}
 }
@@ -279,11 +319,17 @@
 // plan makes a plan and books it. The caller holds mu.
 func (g *reign) plan(now clock.Micros) {
 	round := now >= g.repairAt
+	if !round && (len(g.queue) == 0 || len(g.touched) == 0 && !g.fresh && now < g.triedAt+tick) {
+		return // nothing waits, or nothing has changed since it found no room
+	}
 	if round {
 		g.repairAt = now + g.op.Period()
 	}
+	g.triedAt = now
 	began := g.ck.Now()
 	res := plan.Make(g.picture(now, round))
+	g.fresh = false
+	g.keep(res.Hold)
 	for _, l := range res.Launch {
 		j := g.jobs[l.Task.Job]
 		pc := &j.pieces[l.Task.Index]
@@ -295,6 +341,7 @@
 		pc.state, pc.booking = piecePlaced, b
 		j.touch(l.Task.Index)
 		g.dirty[j.uid] = true
+		delete(g.lazy, j.uid)
 	}
 	for _, id := range res.Preempt {
 		j := g.jobs[id.Job]
@@ -331,6 +378,26 @@
 	g.met.Queue(unplaced)
 }
 
+// keep notes which machines' room is kept for jobs that have waited long. The
+// caller holds mu.
+func (g *reign) keep(holds map[string]string) {
+	for name := range g.holds {
+		if holds[name] == "" {
+			if m := g.fl.Machine(name); m != nil {
+				g.touched[m] = true
+			}
+		}
+	}
+	for name, uid := range holds {
+		if j := g.jobs[uid]; j != nil && j.pj.Hold != name {
+			j.pj.Hold = name
+			g.touched[g.fl.Machine(name)] = true
+			g.log.Info("room is kept for a job that has waited long", "job", uid, "host", name)
+		}
+	}
+	g.holds = holds
+}
+
 // halt stops an attempt, with time to save if it can. The caller holds mu.
 func (g *reign) halt(j *job, b *fleet.Booking, now clock.Micros) {
 	leeway := 0.0
@@ -340,7 +407,9 @@
 	if g.fl.Stop(b, leeway, now) {
 		pc := &j.pieces[b.Piece.Index]
 		g.ended(j, pc, b, true, now)
+		return
 	}
+	g.toTell[b.Machine] = true
 }
 
 // write is one transaction and what it makes durable.
@@ -364,6 +433,23 @@
 // collect builds the next transaction from what has changed; nil when nothing
 // has. The caller holds mu.
 func (g *reign) collect() *write {
+	// Results are recorded together with others, and give way to placements.
+	now := g.ck.Now()
+	var due []string
+	for uid, at := range g.lazy {
+		if at <= now {
+			due = append(due, uid)
+		}
+	}
+	room := g.cfg.Facts.State.TxnOps / 2
+	slices.SortFunc(due, func(a, b string) int { return cmp.Or(cmp.Compare(g.lazy[a], g.lazy[b]), cmp.Compare(a, b)) })
+	for _, uid := range due {
+		if room -= 1; room < 0 || len(g.dirty) > 0 && g.lazy[uid]+g.resultsWithin() > now {
+			break
+		}
+		delete(g.lazy, uid)
+		g.dirty[uid] = true
+	}
 	if len(g.dirty) == 0 {
 		return nil
 	}
@@ -526,12 +612,13 @@
 		c.stamp, c.saved = epoch, wr.seq
 		for _, b := range wr.recorded {
 			b.Recorded = true
+			g.toTell[b.Machine] = true
 		}
 		for _, b := range wr.ended {
 			b.Settled = true
 		}
 		if c.seq != c.saved {
-			g.dirty[wr.j.uid] = true
+			g.again(wr.j, now)
 		}
 	}
 	for _, j := range w.over {
@@ -552,6 +639,29 @@
 	}
 }
 
+// again marks a job whose record is behind: at once if a placement waits for it.
+// The caller holds mu.
+func (g *reign) again(j *job, now clock.Micros) {
+	if j.cancelled || j.done == len(j.pieces) {
+		g.dirty[j.uid] = true
+		return
+	}
+	for n := range j.chunks {
+		c := &j.chunks[n]
+		if c.seq == c.saved {
+			continue
+		}
+		base := n * store.ChunkPieces
+		for i := base; i < min(base+store.ChunkPieces, len(j.pieces)); i++ {
+			if b := j.pieces[i].booking; b != nil && !b.Recorded {
+				g.dirty[j.uid] = true
+				return
+			}
+		}
+	}
+	g.later(j, now)
+}
+
 // conflict finds out why a transaction was refused: an earlier copy of it was
 // applied, a job was cancelled meanwhile, or the reign is over.
 func (g *reign) conflict(ctx context.Context, w *write, failed []string) bool {
@@ -626,8 +736,15 @@
 		return
 	}
 	now := g.ck.Now()
-	for _, m := range g.fl.Machines() {
-		if g.busy[m.Name] || !m.Beaten || !g.urgent(m) || len(g.busy) >= maxFlights {
+	for m := range g.toTell {
+		if len(g.busy) >= maxFlights {
+			break
+		}
+		if g.busy[m.Name] {
+			continue // looked at again when it has landed
+		}
+		delete(g.toTell, m)
+		if !m.Beaten || m.Suspect || m.Returning || g.fl.Machine(m.Name) != m || !g.urgent(m) {
 			continue
 		}
 		fl := g.fl.Launch(m, now, warrant)
@@ -669,9 +786,13 @@
 	g.mu.Lock()
 	g.fl.Landed(fl, definite)
 	delete(g.busy, fl.Machine.Name)
-	if rep != nil && rep.Host == fl.Machine.Name {
+	switch m := fl.Machine; {
+	case rep != nil && rep.Host == m.Name:
+		g.fl.Obeyed(m)
 		news, _ := g.fl.Report(now, rep, false)
 		g.news(news, now)
+	case err != nil && ctx.Err() == nil && now-m.LastBeat < clock.FromSeconds(2*g.cfg.Facts.Workers.ReportS):
+		g.fl.Unheard(m)
 	}
 	g.mu.Unlock()
 	g.wake()
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -240,24 +240,73 @@
 	return n
 }
 
-// DecodeBeat reads a worker's report and checks what the fleet relies on.
+// DecodeBeat reads a worker's report and checks what the fleet relies on. The
+// task list is kept as it came, for DecodePieces.
 func DecodeBeat(body []byte) (Beat, error) {
 	var b Beat
-	if err := Unmarshal(body, &b); err != nil {
+	err := fields(body, func(dec *msgpack.Decoder, key string) (err error) {
+		switch key {
+		case "host":
+			b.Host, err = text(dec)
+		case "endpoint":
+			b.Endpoint, err = text(dec)
+		case "build":
+			b.Build, err = text(dec)
+		case "yard":
+			b.Yard, err = text(dec)
+		case "loaned":
+			b.Loaned, err = flag(dec)
+		case "tenure":
+			b.Tenure, err = dec.DecodeUint64()
+		case "tally":
+			b.Tally, err = dec.DecodeUint64()
+		case "warrant":
+			b.Warrant, err = dec.DecodeUint64()
+		case "warning_s":
+			var isNull bool
+			if isNull, err = null(dec); err == nil && !isNull {
+				var v float64
+				v, err = amount(dec)
+				b.WarningS = &v
+			}
+		case "pieces":
+			var raw msgpack.RawMessage
+			raw, err = dec.DecodeRaw()
+			b.Raw = raw
+		default:
+			err = dec.Skip()
+		}
+		return err
+	})
+	if err != nil {
 		return Beat{}, err
 	}
 	if b.Host == "" || len(b.Host) > 128 || b.Tenure == 0 || b.Endpoint == "" || b.Build == "" || b.Yard == "" {
 		return Beat{}, fmt.Errorf("%w: a report without host, endpoint, build, yard or tenure", ErrMalformed)
 	}
-	for _, p := range b.Pieces {
+	return b, nil
+}
+
+// DecodePieces reads the task list of a report that DecodeBeat has read. A
+// report made otherwise has its list already.
+func (b *Beat) DecodePieces() error {
+	if b.Pieces != nil || len(b.Raw) == 0 {
+		return nil
+	}
+	var list []PieceReport
+	if err := Unmarshal(b.Raw, &list); err != nil {
+		return err
+	}
+	for _, p := range list {
 		if p.Piece == "" {
-			return Beat{}, fmt.Errorf("%w: a task without a name", ErrMalformed)
+			return fmt.Errorf("%w: a task without a name", ErrMalformed)
 		}
 		switch p.Status {
 		case PieceFetching, PieceGathering, PieceRunning, PieceFlushing, PieceEnded:
 		default:
-			return Beat{}, fmt.Errorf("%w: task state %q", ErrMalformed, p.Status)
+			return fmt.Errorf("%w: task state %q", ErrMalformed, p.Status)
 		}
 	}
-	return b, nil
+	b.Pieces = list
+	return nil
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -151,8 +151,15 @@
 	Warrant  uint64        `msgpack:"warrant"`
 	WarningS *float64      `msgpack:"warning_s"`
 	Pieces   []PieceReport `msgpack:"pieces"`
+
+	// Raw is the task list as it came, not decoded yet; see DecodePieces. Lists
+	// seldom change from one report to the next.
+	Raw []byte `msgpack:"-"`
 }
 
+// Mark is how far a worker's reports have come: the larger (Tenure, Tally) is the newer one.
+type Mark struct{ Tenure, Tally uint64 }
+
 // Order is one command to a worker.
 type Order struct {
 	Verb    string   `msgpack:"verb"`
