One read of changes answers all polls that wait; the leader gets most of the budget

Change: a node keeps the set of unfinished jobs from the changes, and one read of changes, begun after a question came, answers all questions that wait; counts are asked together. Ruled out: the processors (0.05 of a core beside the leader).

--- /dev/null
+++ b/api/view.go
@@ -0,0 +1,144 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"cedardoor/clock"
+	"cedardoor/store"
+)
+
+// view answers many queries with few reads. It keeps which jobs are unfinished
+// from the state service's changes, and before it answers it makes sure that
+// it has every change up to a moment after the question came: one read does
+// that for all questions that wait meanwhile. So an answer is never older than
+// one that any node gave before the question.
+type view struct {
+	st    *store.Client
+	ck    *clock.Clock
+	count func(ctx context.Context, uids []string) map[string][2]int
+	pause clock.Micros // least time between reads
+
+	mu     sync.Mutex // guards all below
+	live   map[string]bool
+	loaded bool
+	epoch  uint64
+	next   *round // gathers the questions for the next read
+	busy   bool   // a read is under way, or about to be
+	last   clock.Micros
+}
+
+// round is one read and the questions that wait for it.
+type round struct {
+	uids   []string
+	done   chan struct{}
+	err    error
+	live   map[string]bool   // of uids
+	counts map[string][2]int // tasks done and running, for display
+}
+
+// readLimit bounds one read: users wait two seconds for an answer.
+const readLimit = 1200 * clock.Millisecond
+
+// ask tells whether a job is unfinished now, and its counts.
+func (v *view) ask(ctx context.Context, uid string) (live bool, counts [2]int, err error) {
+	v.mu.Lock()
+	if v.next == nil {
+		v.next = &round{done: make(chan struct{})}
+	}
+	r := v.next
+	r.uids = append(r.uids, uid)
+	if !v.busy {
+		v.busy = true
+		go v.run()
+	}
+	v.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.live[uid], r.counts[uid], r.err
+	case <-ctx.Done():
+		return false, counts, ctx.Err()
+	}
+}
+
+// run reads for one round after another until none waits.
+func (v *view) run() {
+	for {
+		v.mu.Lock()
+		wait := v.last + v.pause - v.ck.Now()
+		v.mu.Unlock()
+		if wait > 0 {
+			<-v.ck.After(wait.Duration())
+		}
+		v.mu.Lock()
+		r := v.next
+		v.next = nil
+		if r == nil {
+			v.busy = false
+			v.mu.Unlock()
+			return
+		}
+		v.last = v.ck.Now()
+		v.mu.Unlock()
+		v.read(r)
+	}
+}
+
+func (v *view) read(r *round) {
+	ctx, cancel := context.WithTimeout(context.Background(), readLimit.Duration())
+	defer cancel()
+	counted := make(chan map[string][2]int, 1)
+	go func() { counted <- v.count(ctx, r.uids) }()
+	err := v.catchUp(ctx)
+	r.err = err
+	r.live = make(map[string]bool, len(r.uids))
+	v.mu.Lock()
+	for _, uid := range r.uids {
+		r.live[uid] = v.live[uid]
+	}
+	v.mu.Unlock()
+	if err == nil {
+		r.counts = <-counted
+	}
+	close(r.done)
+}
+
+// catchUp takes in every change up to now.
+func (v *view) catchUp(ctx context.Context) error {
+	v.mu.Lock()
+	loaded, epoch := v.loaded, v.epoch
+	v.mu.Unlock()
+	if loaded {
+		ch, err := v.st.News(ctx, store.PrefixJob, epoch)
+		if err == nil {
+			v.mu.Lock()
+			for _, ev := range ch.Events {
+				if ev.Set != "" {
+					v.live[ev.Set[min(len(store.PrefixJob), len(ev.Set)):]] = true
+				} else {
+					delete(v.live, ev.Delete[min(len(store.PrefixJob), len(ev.Delete)):])
+				}
+			}
+			v.epoch = max(v.epoch, ch.Epoch)
+			v.mu.Unlock()
+			return nil
+		}
+		if !errors.Is(err, store.ErrTooOld) {
+			return err
+		}
+	}
+	rows, epoch, err := v.st.List(ctx, store.Urgent, store.PrefixJob)
+	if err != nil {
+		return err
+	}
+	live := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = true
+	}
+	v.mu.Lock()
+	v.live, v.epoch, v.loaded = live, epoch, true
+	v.mu.Unlock()
+	// A listing of several pages is not of one moment: the changes since make it so.
+	return v.catchUp(ctx)
+}
--- a/engine.go
+++ b/engine.go
@@ -717,15 +717,17 @@
 	return ans, true
 }
 
-// counts tells how many tasks of a job are done and running.
-func (g *reign) counts(uid string) (done, running int, known bool) {
+// counts tells how many tasks of jobs are done and running.
+func (g *reign) counts(uids []string) map[string][2]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	j := g.jobs[uid]
-	if j == nil || !g.loaded {
-		return 0, 0, false
+	out := make(map[string][2]int, len(uids))
+	for _, uid := range uids {
+		if j := g.jobs[uid]; j != nil && g.loaded {
+			out[uid] = [2]int{j.done, j.running}
+		}
 	}
-	return j.done, j.running, true
+	return out
 }
 
 // sortedJobs lists the jobs in a fixed order. The caller holds mu.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,8 +14,8 @@
 
 // Ask is a question to another controller.
 type Ask struct {
-	Attest bool   // does the state service refuse you, right now?
-	Count  string // how many tasks of this job are done and running? Only the leader knows.
+	Attest bool     // does the state service refuse you, right now?
+	Counts []string // how many tasks of these jobs are done and running? Only the leader knows.
 	// A user's request that the asker can't serve because the state service
 	// refuses it alone: answered as if it had come here.
 	Method, Path string
@@ -24,11 +24,10 @@
 
 // Reply is its answer.
 type Reply struct {
-	Refused       bool
-	Known         bool
-	Done, Running int
-	Status        int
-	Body          []byte
+	Refused bool
+	Counts  map[string][2]int
+	Status  int
+	Body    []byte
 }
 
 // Limits on what a stranger can make this node hold.
--- a/service.go
+++ b/service.go
@@ -60,7 +60,7 @@
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
 	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}}
 	f := cfg.Facts
-	s.st = store.New(cfg.Outside.State, f.State)
+	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
 	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/4))
 	for _, o := range cfg.Others {
@@ -68,7 +68,7 @@
 		s.relays[o.Node] = peer.NewLink(o.Addr)
 	}
 	s.el = lead.New(cfg.Node, s.st, s.ck, op, s.attest, log)
-	s.users = &api.Users{Store: s.st, Clock: s.ck, Node: cfg.Node, Teams: f.Teams, Catalog: s.catalog, Count: s.count, Log: log, Observe: s.met.Submission}
+	s.users = &api.Users{Store: s.st, Clock: s.ck, Node: cfg.Node, Teams: f.Teams, Catalog: s.catalog, Counts: s.counts, Log: log, Observe: s.met.Submission}
 	if len(s.links) > 0 {
 		s.users.Relay = s.relay
 	}
@@ -126,6 +126,7 @@
 	for ctx.Err() == nil {
 		g := newReign(s, r)
 		s.reign.Store(g)
+		s.st.Lead(true)
 		if err := g.run(ctx); err != nil {
 			s.log.Error("leading", "error", err)
 		}
@@ -135,6 +136,7 @@
 		}
 	}
 	s.reign.Store(nil)
+	s.st.Lead(len(s.cfg.Others) == 0)
 }
 
 // Beat implements agent.Steward.
@@ -160,9 +162,9 @@
 	if a.Attest {
 		r.Refused = s.st.Probe(ctx, 500*clock.Millisecond)
 	}
-	if a.Count != "" {
+	if len(a.Counts) > 0 {
 		if g := s.reign.Load(); g != nil {
-			r.Done, r.Running, r.Known = g.counts(a.Count)
+			r.Counts = g.counts(a.Counts)
 		}
 	}
 	if a.Path != "" && !s.st.Failing() {
@@ -226,23 +228,22 @@
 	return all
 }
 
-// count asks the leader for a job's counts, which are for display only.
-func (s *Service) count(ctx context.Context, uid string) (done, running int) {
+// counts asks the leader for jobs' counts, which are for display only.
+func (s *Service) counts(ctx context.Context, uids []string) map[string][2]int {
 	if g := s.reign.Load(); g != nil {
-		done, running, _ = g.counts(uid)
-		return done, running
+		return g.counts(uids)
 	}
 	l := s.relays[s.el.Leader()]
 	if l == nil {
-		return 0, 0
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
 	defer cancel()
-	r, err := l.Ask(ctx, peer.Ask{Count: uid})
+	r, err := l.Ask(ctx, peer.Ask{Counts: uids})
 	if err != nil {
-		return 0, 0
+		return nil
 	}
-	return r.Done, r.Running
+	return r.Counts
 }
 
 // catalog gives the machine types as last seen by any leader, or by this node itself.
--- a/store/client.go
+++ b/store/client.go
@@ -24,6 +24,8 @@
 var (
 	// ErrRefused means that the service did not execute the request.
 	ErrRefused = errors.New("state service refused")
+	// ErrBusy goes with ErrRefused when the nodes together asked for too much at once.
+	ErrBusy = errors.New("too many requests")
 	// ErrUnknown means that the request may have been executed, or still may be.
 	ErrUnknown = errors.New("state service gave no answer")
 	// ErrNoHold means that a hold has ended.
@@ -59,6 +61,8 @@
 	watch    *http.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
+	limits   config.State
+	nodes    int
 	timeout  time.Duration
 	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
@@ -66,16 +70,46 @@
 // Failing tells whether the service has answered none of the last requests.
 func (c *Client) Failing() bool { return c.failing.Load() >= 2 }
 
-// New makes a Client. The limits are the whole service's, so each node plans
-// with a share of them; the leader, which writes most, is given more by Lead.
-func New(addr string, limits config.State) *Client {
+// Shares of what the service takes: the leader writes nearly everything, the
+// others have moments in which many users come at once. Together they may ask
+// for more than there is; what the service then refuses is tried again.
+const (
+	leadRequests, otherRequests = 0.6, 0.3
+	leadWrites, otherWrites     = 0.8, 0.35
+)
+
+// New makes a Client for one of so many nodes. The limits are the whole
+// service's, so each node plans with a share of them; see Lead.
+func New(addr string, limits config.State, nodes int) *Client {
 	const dial = 1500 * clock.Millisecond
-	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second}
-	c.requests = rate.NewLimiter(rate.Limit(limits.RPS*0.3), max(2, int(limits.RPS*0.25)))
-	c.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS*0.5), max(limits.TxnOps, int(limits.WriteRPS*0.5)))
+	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second,
+		limits: limits, nodes: max(1, nodes), requests: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0)}
+	c.Lead(nodes <= 1)
 	return c
 }
 
+// Lead sets this node's share of the service's limits.
+func (c *Client) Lead(leads bool) {
+	r, w := c.limits.RPS*otherRequests, c.limits.WriteRPS*otherWrites
+	if leads {
+		r, w = c.limits.RPS*leadRequests, c.limits.WriteRPS*leadWrites
+	}
+	c.requests.SetLimit(rate.Limit(r))
+	c.requests.SetBurst(max(4, int(r)))
+	c.writes.SetLimit(rate.Limit(w))
+	c.writes.SetBurst(max(4, int(w), c.limits.TxnOps))
+}
+
+// Pause is how far apart reads that many questions share should be.
+func (c *Client) Pause() clock.Micros {
+	own := c.limits.RPS * (1 - leadRequests) / float64(max(1, c.nodes-1))
+	pause := min(250*clock.Millisecond, clock.FromSeconds(2/own))
+	if pause < clock.Millisecond {
+		return 0
+	}
+	return pause
+}
+
 func (c *Client) admit(ctx context.Context, prio Priority, puts int) error {
 	if prio == Vital {
 		// Leadership is never starved: it takes its tokens without waiting for them.
@@ -89,14 +123,14 @@
 		}
 		return nil
 	}
-	if err := c.requests.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: %w", ErrRefused, err)
-	}
 	if puts > 0 {
 		if err := c.writes.WaitN(ctx, min(puts, c.writes.Burst())); err != nil {
 			return fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 	}
+	if err := c.requests.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
 	return nil
 }
 
@@ -111,7 +145,9 @@
 		}
 	}
 	switch {
-	case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+	case err == nil && status == http.StatusTooManyRequests:
+		return status, nil, fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
+	case err == nil && status == http.StatusServiceUnavailable:
 		return status, nil, fmt.Errorf("%w: status %d", ErrRefused, status)
 	case err == nil:
 		return status, raw, nil
@@ -281,17 +317,20 @@
 	return err
 }
 
-// Changes waits for changes after since; ErrTooOld asks the caller to read again.
-func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.Changes, error) {
+// News gives what has changed after since, without waiting; ErrTooOld asks the
+// caller to read again.
+func (c *Client) News(ctx context.Context, prefix string, since uint64) (wire.Changes, error) {
 	var ch wire.Changes
 	if err := c.admit(ctx, Urgent, 0); err != nil {
 		return ch, err
 	}
-	// A watch stays open through an outage, so its limit is only there against a dead link.
-	ctx, cancel := context.WithTimeout(ctx, block.Duration()+5*time.Second)
-	defer cancel()
+	return c.changes(ctx, c.http, prefix, since, 0)
+}
+
+func (c *Client) changes(ctx context.Context, hc *http.Client, prefix string, since uint64, block clock.Micros) (wire.Changes, error) {
+	var ch wire.Changes
 	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)}, "block_ms": {strconv.FormatInt(int64(block/clock.Millisecond), 10)}}
-	status, raw, err := c.call(ctx, c.watch, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil)
+	status, raw, err := c.call(ctx, hc, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil)
 	switch {
 	case err != nil:
 		return ch, err
@@ -303,6 +342,18 @@
 	return ch, unexpected(status, raw)
 }
 
+// Changes waits for changes after since; ErrTooOld asks the caller to read again.
+func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.Changes, error) {
+	var ch wire.Changes
+	if err := c.admit(ctx, Urgent, 0); err != nil {
+		return ch, err
+	}
+	// A watch stays open through an outage, so its limit is only there against a dead link.
+	ctx, cancel := context.WithTimeout(ctx, block.Duration()+5*time.Second)
+	defer cancel()
+	return c.changes(ctx, c.watch, prefix, since, block)
+}
+
 // Probe asks once whether the service refuses this node right now: true only
 // after a definite refusal, never after silence.
 func (c *Client) Probe(ctx context.Context, timeout clock.Micros) bool {
