--- a/api/api.go
+++ b/api/api.go
@@ -44,6 +44,10 @@
 	// none could serve it.
 	Relay func(ctx context.Context, method, path string, body []byte) (status int, answer []byte, ok bool)
 
+	// Alone, if set, tells that neither the state service nor any other controller
+	// can be reached, so that no user can be served.
+	Alone func(ctx context.Context) bool
+
 	mu   sync.Mutex // guards the fields below
 	over map[string]store.OverRecord
 	jobs *view
@@ -57,7 +61,18 @@
 	r.Post(wire.PathRuns, u.relayed(u.submit))
 	r.Get(wire.PathRuns+"/{uid}", u.relayed(u.query))
 	r.Post(wire.PathRuns+"/{uid}/"+wire.SuffixAbort, u.relayed(u.abort))
-	r.Get(wire.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get(wire.PathHealth, u.health)
+}
+
+// health fails only where other nodes may do better: a node cut off from all
+// that it needs. In an outage of the state service every node answers alike,
+// and at once, so none is taken out.
+func (u *Users) health(w http.ResponseWriter, r *http.Request) {
+	if u.Alone != nil && u.Store.Failing() && u.Alone(r.Context()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
 }
 
 type relayKey struct{}
@@ -109,8 +124,16 @@
 			return true
 		}
 		failing := u.Store.Failing()
-		if failing && relay() {
-			return
+		if failing {
+			if relay() {
+				return
+			}
+			// Now and then one request finds out whether the state service answers
+			// again; meanwhile none is kept waiting for it.
+			if !u.Store.Retry() {
+				u.unavailable(w, errors.New("the state service does not answer"))
+				return
+			}
 		}
 		h := NewKept()
 		h.Head = w.Header()
--- /dev/null
+++ b/api/view_test.go
@@ -0,0 +1,70 @@
+package api
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/config"
+	"cedardoor/internal/standin"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// One read answers all polls that wait for it, however many there are, and it
+// begins after the last of them came.
+func TestPollsShareReads(t *testing.T) {
+	state := standin.NewState(clockwork.NewFakeClock())
+	srv := httptest.NewServer(state.Handler("a"))
+	defer srv.Close()
+	st := store.New(strings.TrimPrefix(srv.URL, "http://"), config.State{RPS: 10000, WriteRPS: 10000, TxnOps: 24, ValueKB: 8}, 1)
+	v := &view{st: st, ck: clock.New(nil), live: map[string]bool{},
+		count: func(context.Context, []string) map[string][2]int { return nil }}
+	set := func(uid string) {
+		if _, err := st.Commit(t.Context(), store.Urgent, wire.Txn{Apply: []wire.Apply{{Set: store.JobKey(uid), Value: store.JobRecord{}}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set("j-1")
+	if live, _, err := v.ask(t.Context(), "j-1"); err != nil || !live {
+		t.Fatalf("first poll: %t, %v", live, err)
+	}
+	reads := func(polls int) int {
+		before := state.Requests()
+		release := state.Stall()
+		done := make(chan bool)
+		poll := func() {
+			live, _, err := v.ask(t.Context(), "j-1")
+			done <- live && err == nil
+		}
+		go poll()
+		for state.Requests() == before { // its read is under way
+			time.Sleep(0)
+		}
+		for range polls - 1 {
+			go poll()
+		}
+		for waiting := 0; waiting < polls-1; time.Sleep(0) {
+			v.mu.Lock()
+			if v.next != nil {
+				waiting = len(v.next.uids)
+			}
+			v.mu.Unlock()
+		}
+		release()
+		for range polls {
+			if !<-done {
+				t.Fatal("a poll failed")
+			}
+		}
+		return state.Requests() - before
+	}
+	if few, many := reads(2), reads(60); few != 2 || many != 2 {
+		t.Errorf("%d reads for 2 polls, %d for 60, want 2: the one under way and one for all the rest", few, many)
+	}
+}
--- a/cloud/size.go
+++ b/cloud/size.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sort"
 
 	"cedardoor/clock"
@@ -129,10 +128,11 @@
 		}
 		return missing
 	}
+	room := roomByZone(held, byName, need)
 	missing := uncordon(false, ordWant-ordHave, need.Ordinary)
 	if missing > 0 {
 		total += rent(&v, builds, need.Ordinary, missing, false, zoneHave, need.Apart, refused, need.Machines-total)
-	} else if zone := tight(held, byName, need); zone != "" {
+	} else if zone := tight(room, need); zone != "" {
 		// Enough in sum, but not where replicas kept apart could go.
 		only := func(b, y string, l bool) bool { return y != zone || refused(b, y, l) }
 		total += rent(&v, builds, need.Ordinary, 1, false, zoneHave, false, only, min(1, need.Machines-total))
@@ -152,6 +152,10 @@
 		missing = uncordon(false, missing, need.Loaned)
 		rent(&v, builds, need.Loaned, missing, false, zoneHave, false, refused, need.Machines-total)
 	}
+	taken := map[string]bool{}
+	for _, name := range v.Uncordon {
+		taken[name] = true
+	}
 	// What is too much goes: dearest per core first, emptiest first among equals.
 	moving := false
 	for _, h := range held {
@@ -160,7 +164,7 @@
 	surplus := func(loaned bool, over float64, load Load) {
 		var list []Held
 		for _, h := range held {
-			if h.Loaned == loaned && !h.Lost && !h.Cordoned && h.Up && !slices.Contains(v.Uncordon, h.Name) {
+			if h.Loaned == loaned && !h.Lost && !h.Cordoned && h.Up && !taken[h.Name] {
 				list = append(list, h)
 			}
 		}
@@ -190,14 +194,22 @@
 			if w > over || h.Live == 0 && h.Idle < need.Idle {
 				continue
 			}
-			if !loaned && tight(without(held, append(v.Cordon, h.Name)), byName, need) != "" {
-				continue // it would have to be rented again
+			kept := byName[h.Build]
+			if !loaned {
+				room[h.Yard] -= worth(kept, need.Ordinary, 0) - h.Firm
+				if tight(room, need) != "" {
+					room[h.Yard] += worth(kept, need.Ordinary, 0) - h.Firm
+					continue // it would have to be rented again
+				}
 			}
 			if h.Standing > 0 {
 				// Its replicas have to be moved, and a machine rented in its stead later
 				// would be cold: only when there is clearly too much, one machine at a
 				// time, and not while another is still being emptied.
 				if moving || over-w < 0.12*ordWant {
+					if !loaned {
+						room[h.Yard] += worth(kept, need.Ordinary, 0) - h.Firm
+					}
 					continue
 				}
 				moving = true
@@ -212,20 +224,16 @@
 		surplus(false, ordHave-max(ordWant, need.HoldOrdinary)-max(0, need.Pressing.Cores-spotHave, need.HoldPressing-spotHave), need.Ordinary)
 	}
 	for _, h := range held {
-		if h.Cordoned && h.Up && h.Live == 0 && !slices.Contains(v.Uncordon, h.Name) {
+		if h.Cordoned && h.Up && h.Live == 0 && !taken[h.Name] {
 			v.Return = append(v.Return, h.Name)
 		}
 	}
 	return v
 }
 
-// tight names the zone to rent in when replicas that must be kept apart would
-// find room in fewer than two zones: the one, after the roomiest, with the
-// least to add. Work that spot machines may hold gives way, so it counts as room.
-func tight(held []Held, byName map[string]wire.Build, need Need) string {
-	if !need.Apart {
-		return ""
-	}
+// roomByZone is the room on ordinary machines beside what only they may hold.
+// Work that spot machines may hold gives way, so it counts as room.
+func roomByZone(held []Held, byName map[string]wire.Build, need Need) map[string]float64 {
 	free := map[string]float64{}
 	for _, b := range byName {
 		for _, y := range b.Yards {
@@ -237,6 +245,16 @@
 			free[h.Yard] += worth(byName[h.Build], need.Ordinary, 0) - h.Firm
 		}
 	}
+	return free
+}
+
+// tight names the zone to rent in when replicas that must be kept apart would
+// find room in fewer than two zones: the one, after the roomiest, with the
+// least to add.
+func tight(free map[string]float64, need Need) string {
+	if !need.Apart {
+		return ""
+	}
 	zones := make([]string, 0, len(free))
 	for z := range free {
 		zones = append(zones, z)
@@ -256,17 +274,6 @@
 	return ""
 }
 
-// without is held less the named machines.
-func without(held []Held, names []string) []Held {
-	out := make([]Held, 0, len(held))
-	for _, h := range held {
-		if !slices.Contains(names, h.Name) {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // rent fills a shortage with the machines that cost least per core of the
 // load, all of one kind, and gives how many it asked for.
 func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
--- a/engine.go
+++ b/engine.go
@@ -65,6 +65,7 @@
 	ran       runStat
 	counted   bool // its work is among the arrivals
 	running   int  // tasks now running
+	spared    bool // waited long before any task began: the first ones are not preempted
 	pj        *plan.Job
 }
 
@@ -696,7 +697,7 @@
 	if !fresh {
 		// A late copy, or a new process that counts from the start again: its lease
 		// is counted as renewed, and the worker itself is asked which it is.
-		g.fl.Answered(m, now)
+		g.fl.Answered(m, now, warrant)
 		g.askOld(m, now)
 		return ans, true
 	}
@@ -707,7 +708,7 @@
 		delete(g.unheard, m)
 	}
 	g.news(news, now)
-	g.fl.Answered(m, now)
+	g.fl.Answered(m, now, warrant)
 	if len(news) > 0 {
 		g.wake()
 	}
--- a/engine_test.go
+++ b/engine_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,13 +35,14 @@
 	state *standin.State
 	cloud *standin.Cloud
 	nodes int
+	dead  map[string]*atomic.Bool // by a node's address of the state service
 }
 
 var bigBuild = wire.Build{SKU: "b", Cores: 8, RAM: 32, Hourly: 1, Spot: 0.4, ReadyS: 30, Yards: []string{"x", "y"}}
 
 func newSite(t *testing.T) *site {
 	clk := clockwork.NewFakeClock()
-	return &site{t: t, clk: clk, state: standin.NewState(clk), cloud: standin.NewCloud(bigBuild)}
+	return &site{t: t, clk: clk, dead: map[string]*atomic.Bool{}, state: standin.NewState(clk), cloud: standin.NewCloud(bigBuild)}
 }
 
 func (s *site) server(h http.Handler) string {
@@ -53,7 +55,15 @@
 func (s *site) node(mod func(f *config.Facts)) *Service {
 	s.nodes++
 	cfg := &config.Platform{Node: fmt.Sprintf("node-%d", s.nodes), ClientListen: "127.0.0.1:0", Back: "127.0.0.1:0"}
-	cfg.Outside.State = s.server(s.state.Handler(cfg.Node))
+	dead := new(atomic.Bool)
+	inner := s.state.Handler(cfg.Node)
+	cfg.Outside.State = s.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if dead.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	s.dead[cfg.Outside.State] = dead
 	cfg.Outside.Cloud = s.server(s.cloud)
 	cfg.Facts = config.Facts{InitialSize: 3, Zones: []string{"x", "y"}, Teams: []config.Team{{Name: "team"}},
 		Workers: config.Workers{ReportS: 3, LeaseS: 18, CancelS: 40},
@@ -113,6 +123,9 @@
 	}
 }
 
+// kill lets nothing of a node reach the state service any more.
+func (s *site) kill(n *Service) { s.dead[n.cfg.Outside.State].Store(true) }
+
 // worker makes a worker whose /do is served.
 func (s *site) worker(host, yard string, loaned bool) *standin.Worker {
 	w := standin.NewWorker(host, "", "b", yard, loaned)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,6 +131,7 @@
 	byKey  map[key]*Booking
 	live   int // bookings that may be on it
 	strays map[key]stray
+	told   uint64 // the warrant in the last answer
 	seen   []byte // the task list of the last report, as it came
 	steady bool   // that list holds no news and asks for no orders
 	dueAt  clock.Micros
@@ -455,6 +456,8 @@
 		m.steady = false
 	}
 	m.Tenure, m.Tally = rep.Tenure, rep.Tally
+	// A report made after an answer shows its warrant, if the answer was heard.
+	unheard := viaBeat && rep.Warrant < m.told
 	if rep.Warrant > m.Warrant {
 		m.Warrant = rep.Warrant
 		f.Obeyed(m)
@@ -470,7 +473,7 @@
 	if viaBeat {
 		f.heard(m, now)
 	}
-	if m.steady && m.Warrant == rep.Warrant && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
+	if m.steady && !unheard && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
 		return news, true
 	}
 	if err := rep.DecodePieces(); err != nil {
@@ -519,7 +522,7 @@
 	if len(m.Images) != held {
 		f.touch(m)
 	}
-	steady, unheard := len(m.strays) == 0, false
+	steady := len(m.strays) == 0
 	m.Each(func(b *Booking) {
 		f.Visits++
 		// A higher warrant voids copies that a /do without a definite answer left
@@ -531,6 +534,7 @@
 		if b.Tenure != rep.Tenure || shown[b] {
 			return
 		}
+		unheard = unheard || viaBeat && b.beatTally > 0 && rep.Tally > b.beatTally && b.Status == "" && !b.Ended
 		// Not in the report. A /do without a definite answer is dead once the
 		// worker has seen a higher warrant; the answer to a beat is dead once a
 		// later beat has come.
@@ -548,7 +552,6 @@
 		}
 		if b.Status == "" && !b.Halt {
 			// Never shown: the run was lost, and the next answer carries it again.
-			unheard = true
 			return
 		}
 		f.release(b, now)
@@ -737,8 +740,9 @@
 
 // Answered notes that a beat of m is being answered, which extends its lease
 // if the answer is heard. That counts even for a copy that comes late.
-func (f *Fleet) Answered(m *Machine, now clock.Micros) {
+func (f *Fleet) Answered(m *Machine, now clock.Micros, warrant uint64) {
 	m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
+	m.told = warrant
 }
 
 // Steady tells whether the machine's last report asks for no orders at all.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
 	f.Report(1, rep(1, 1, 0), true)
 	m := f.Machine("n-1")
-	f.Answered(m, 1)
+	f.Answered(m, 1, 5)
 	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2, RAM: 4}
 	f.Reserve(m, b, 1)
 	b.Recorded = true
@@ -118,7 +118,7 @@
 
 func TestLeaseCountsFromLastAnswer(t *testing.T) {
 	f, m, _ := booked(t)
-	f.Answered(m, 10*clock.Second)
+	f.Answered(m, 10*clock.Second, 5)
 	if gone(f.Expire(10*clock.Second + lease)) {
 		t.Fatal("freed at the lease without its drift")
 	}
@@ -164,9 +164,218 @@
 	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
 	f.Adopt(m, b, 1)
 	f.Report(2, rep(1, 7, 4), true)
-	f.Answered(m, 2)
+	f.Answered(m, 2, 5)
 	f.Report(3, rep(1, 8, 5), true)
 	if o := f.Orders(m, 3, true, true); len(o) != 1 || o[0].Verb != wire.VerbRun || b.Ended {
 		t.Errorf("orders %v, ended %t", o, b.Ended)
 	}
 }
+
+// Each way in which a report can free a booking, tried with a copy of a report
+// that was made just before the run arrived and is delivered after it.
+func TestCopyFromBeforeTheRunFreesNothing(t *testing.T) {
+	heard := func(f *Fleet, tally uint64) { // the worker knows this reign
+		f.Report(2, rep(1, tally, 5), true)
+		f.Answered(f.Machine("n-1"), 2, 5)
+	}
+	tests := []struct {
+		name string
+		copy *wire.Beat
+		run  func(f *Fleet, m *Machine, b *Booking)
+	}{
+		{"run in a beat's answer, then shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+			heard(f, 4)
+			f.Orders(m, 3, true, true)
+			f.Report(4, rep(1, 5, 5, shown(wire.PieceRunning, "")), true)
+		}},
+		{"run in a beat's answer, stopped before it was shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+			heard(f, 4)
+			f.Orders(m, 3, true, true)
+			f.Stop(b, 0, 4)
+		}},
+		{"run in a /do that is under way", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+			heard(f, 2)
+			f.Launch(m, 3, 5)
+			f.Stop(b, 0, 4)
+		}},
+		{"run in a /do without an answer", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+			heard(f, 2)
+			f.Landed(f.Launch(m, 3, 5), false)
+			f.Stop(b, 0, 4)
+		}},
+		{"run in a /do that was answered", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+			heard(f, 2)
+			fl := f.Launch(m, 3, 5)
+			f.Landed(fl, true)
+			f.Report(4, rep(1, 4, 5, shown(wire.PieceRunning, "")), false)
+		}},
+		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, b *Booking) {
+			f.Report(3, rep(2, 1, 5), true)
+			b2 := &Booking{Piece: piece0, Try: 2, Tenure: 2, Cores: 2}
+			f.Reserve(m, b2, 3)
+			b2.Recorded = true
+			f.Orders(m, 3, true, true)
+		}},
+	}
+	for _, tt := range tests {
+		f, m, b := booked(t)
+		tt.run(f, m, b)
+		live, tenure, tally := m.LiveCount(), m.Tenure, m.Tally
+		if news, _ := f.Report(6, tt.copy, true); gone(news) || m.LiveCount() != live {
+			t.Errorf("%s: freed by the copy", tt.name)
+		}
+		if m.Tenure < tenure || m.Tenure == tenure && m.Tally < tally {
+			t.Errorf("%s: reports went back from %d/%d to %d/%d", tt.name, tenure, tally, m.Tenure, m.Tally)
+		}
+	}
+}
+
+// A new leader's first report of a machine may be a copy from before its reign:
+// it frees nothing that the record holds and does not make the machine trusted.
+func TestCopyAtNewLeader(t *testing.T) {
+	f := New(lease, report, 5)
+	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
+	m := f.Ensure("n-1", 1)
+	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
+	f.Adopt(m, b, 1)
+	if news, _ := f.Report(2, rep(1, 3, 4), true); gone(news) || !b.Live() {
+		t.Fatal("a copy from before the run proved it absent")
+	}
+	if m.Beaten {
+		t.Error("a copy from before the reign made the machine trusted")
+	}
+	f.Report(3, rep(1, 8, 5, shown(wire.PieceRunning, "")), true)
+	if !m.Beaten || b.Status != wire.PieceRunning {
+		t.Error("a report under this reign's warrant was not believed")
+	}
+}
+
+// A copy that was held while its machine was silent says nothing of now: the
+// machine stays silent until it answers a question.
+func TestCopyDoesNotEndSilence(t *testing.T) {
+	f, m, _ := booked(t)
+	f.Report(2, rep(1, 2, 5), true)
+	if !m.Beaten {
+		t.Fatal("not trusted at the start")
+	}
+	late := 2*report + 2*clock.Second
+	f.Report(late, rep(1, 3, 5), true)
+	if !m.Suspect || m.LastBeat != 2 {
+		t.Fatalf("suspect %t, last beat at %d after a report that may be late", m.Suspect, m.LastBeat)
+	}
+	if got := f.Hush(late, 2*report); len(got) != 1 {
+		t.Errorf("silent: %d machines, want 1", len(got))
+	}
+	f.Answers(late+1, m.Mark(), rep(1, 4, 5))
+	if m.Suspect || m.LastBeat != late+1 {
+		t.Error("still suspect after it answered a question")
+	}
+}
+
+// A worker's new process counts from the start again: its answer, not its
+// beats, tells it from late copies; what its predecessor ran is gone, except
+// what a copy of a run still under way might start.
+func TestNewProcessCountsAgain(t *testing.T) {
+	f, m, b := booked(t)
+	f.Report(2, rep(3, 40, 5), true)
+	sure := &Booking{Piece: PieceID{Job: "j-2"}, Try: 1, Tenure: 3, Cores: 1}
+	doubtful := &Booking{Piece: PieceID{Job: "j-3"}, Try: 1, Tenure: 3, Cores: 1}
+	f.Reserve(m, sure, 3)
+	sure.Recorded = true
+	f.Orders(m, 3, true, true)
+	f.Reserve(m, doubtful, 3)
+	doubtful.Recorded = true
+	f.Landed(f.Launch(m, 3, 5), false)
+	f.setDoubt(sure, 0)
+	if _, fresh := f.Report(4, rep(1, 1, 0), true); fresh {
+		t.Fatal("a report that counts lower was taken in as it came")
+	}
+	news := f.Answers(5, m.Mark(), rep(1, 2, 0))
+	if !gone(news) || sure.Live() || !doubtful.Live() {
+		t.Fatalf("sure live %t, doubtful live %t", sure.Live(), doubtful.Live())
+	}
+	if m.Beaten {
+		t.Error("the new process is trusted before it knows the warrant")
+	}
+	if _, fresh := f.Report(6, rep(1, 3, 5), true); !fresh || !m.Beaten {
+		t.Error("the new process is ignored")
+	}
+	// The doubt ends only under a higher warrant, as ever.
+	if !doubtful.Live() {
+		t.Fatal("in doubt, and freed")
+	}
+	f.Stop(doubtful, 0, 6)
+	if news, _ := f.Report(7, rep(1, 4, 6), true); !gone(news) {
+		t.Error("the doubt never ends")
+	}
+	_ = b
+}
+
+// What is told to a deaf machine takes no effect although it reports.
+func TestDeaf(t *testing.T) {
+	f, m, b := booked(t)
+	f.Report(2, rep(1, 2, 5), true)
+	for tally := uint64(3); tally < 3+deafSigns; tally++ {
+		if m.Deaf() {
+			t.Fatalf("deaf after %d answers", tally-3)
+		}
+		f.Orders(m, 3, true, true)
+		f.Report(4, rep(1, tally, 5), true)
+	}
+	if !m.Deaf() {
+		t.Fatal("not deaf though each answer had no effect")
+	}
+	if !b.Live() {
+		t.Error("its task was freed without proof")
+	}
+	f.Report(5, rep(1, 20, 5, shown(wire.PieceRunning, "")), true)
+	if m.Deaf() {
+		t.Error("still deaf after it obeyed")
+	}
+}
+
+// The work that a report costs does not grow with the fleet, and one without
+// news costs a look-up however much runs on the machine.
+func TestWorkOfReports(t *testing.T) {
+	visits := func(machines, tasks int) (plain, expiry int) {
+		f := New(lease, report, 5)
+		f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 1000, RAM: 4000}}})
+		var list []wire.PieceReport
+		for i := range machines {
+			name := string(rune('a'+i%26)) + string(rune('a'+i/26))
+			f.Report(1, &wire.Beat{Host: name, Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 1, Warrant: 5}, true)
+			for k := range tasks {
+				b := &Booking{Piece: PieceID{Job: "j-1", Index: i*tasks + k}, Try: 1, Tenure: 1, Cores: 1}
+				f.Reserve(f.Machine(name), b, 1)
+				b.Recorded = true
+				if i == 0 {
+					list = append(list, wire.PieceReport{Piece: b.Piece.String(), Try: 1, Status: wire.PieceRunning})
+				}
+			}
+		}
+		m := f.Machine("aa")
+		f.Orders(m, 2, true, true)
+		raw, err := wire.Marshal(list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Report(2, &wire.Beat{Host: "aa", Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 2, Warrant: 5, Raw: raw}, true)
+		f.Visits = 0
+		f.Report(3, &wire.Beat{Host: "aa", Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 3, Warrant: 5, Raw: raw}, true)
+		f.Orders(m, 3, true, true)
+		plain = f.Visits
+		f.Visits = 0
+		f.Expire(4)
+		f.Hush(4, report)
+		f.Doubts(4, 5)
+		return plain, f.Visits
+	}
+	sp, se := visits(10, 3)
+	lp, le := visits(500, 30)
+	if sp != lp || lp > 2 {
+		t.Errorf("a report without news visits %d and %d, want the same and few", sp, lp)
+	}
+	if se != le || le > 2 {
+		t.Errorf("looking for what has expired visits %d and %d, want the same and few", se, le)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,6 +35,8 @@
 	late   []wire.Txn
 	delay  bool
 	puts   int
+	asked  int
+	stall  chan struct{}
 }
 
 type hold struct {
@@ -81,6 +83,26 @@
 	s.late = nil
 }
 
+// Late counts the transactions kept back.
+func (s *State) Late() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.late) }
+
+// Requests counts the requests that came so far.
+func (s *State) Requests() int { s.mu.Lock(); defer s.mu.Unlock(); return s.asked }
+
+// Stall keeps every request waiting until release is called.
+func (s *State) Stall() (release func()) {
+	ch := make(chan struct{})
+	s.mu.Lock()
+	s.stall = ch
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		s.stall = nil
+		s.mu.Unlock()
+		close(ch)
+	}
+}
+
 // Forget drops the change history, so that older watches get 410.
 func (s *State) Forget() { s.mu.Lock(); defer s.mu.Unlock(); s.log, s.oldest = nil, s.epoch }
 
@@ -200,6 +222,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		s.mu.Lock()
+		s.asked++
+		stall := s.stall
+		s.mu.Unlock()
+		if stall != nil {
+			<-stall
+		}
+		s.mu.Lock()
 		defer s.mu.Unlock()
 		// Open watches stay open through an outage; new ones are refused like all else.
 		if s.refuse[""] || s.refuse[node] {
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -51,6 +51,7 @@
 	until    clock.Micros // the hold cannot have lapsed before this
 	attested clock.Micros // the others' word is good until this
 	leader   string       // who leads, as last seen; empty when nobody does
+	seenAt   clock.Micros // when the state service last confirmed that
 	seq      uint64
 	vStamp   uint64 // of the warrant key
 	resting  clock.Micros
@@ -77,10 +78,19 @@
 		ttl: clock.FromSeconds(op.Lead.TTLs), renew: clock.FromSeconds(op.Lead.RenewS)}
 }
 
-// Leader names the controller that leads, as last seen; empty when unknown.
+// watchSpan is how long one watch of the lead key waits.
+const watchSpan = 4 * clock.Second
+
+// Leader names the controller that leads, as last seen; empty when unknown. A
+// node that the state service has not told for a while does not know: workers
+// that it sent to a dead leader would lose time that their leases run on.
 func (e *Elector) Leader() string {
+	now := e.ck.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.leading && now-e.seenAt > watchSpan+clock.Second {
+		return ""
+	}
 	return e.leader
 }
 
@@ -174,13 +184,19 @@
 			return Reign{}, fmt.Errorf("lead record: %w", err)
 		}
 		e.mu.Lock()
-		e.leader = rec.Node
+		e.leader, e.seenAt = rec.Node, e.ck.Now()
 		if rec.Node == e.node {
-			// An earlier life of this node still holds the key; it will lapse.
 			e.leader = ""
 		}
 		e.mu.Unlock()
-		ch, err := e.st.Changes(ctx, store.KeyLead, row.Stamp, 4*clock.Second)
+		if rec.Node == e.node && row.Hold != 0 {
+			// An earlier process of this node holds the key. It has ended, or this one
+			// would not run, so nobody need wait for its hold to lapse.
+			if err := e.st.Drop(ctx, row.Hold); err == nil {
+				continue
+			}
+		}
+		ch, err := e.st.Changes(ctx, store.KeyLead, row.Stamp, watchSpan)
 		if err != nil && !errors.Is(err, store.ErrTooOld) {
 			e.mu.Lock()
 			e.leader = ""
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -204,8 +204,8 @@
 // maxHolds bounds the machines whose room is kept for jobs that have waited long.
 const maxHolds = 8
 
-// agedTasks is how many tasks of a job that has waited long go before others.
-const agedTasks = 4
+// AgedTasks is how many tasks of a job that has waited long go before others.
+const AgedTasks = 4
 
 // launch places waiting tasks: services before the repair, so that replacing a
 // lost replica never waits behind a move, the rest after it.
@@ -223,7 +223,7 @@
 	var failed []*Job
 	for _, w := range list {
 		if j := w.Job; j.Aged && !j.Group && !j.SamePlace {
-			n := min(agedTasks, len(w.Indexes))
+			n := min(AgedTasks, len(w.Indexes))
 			done := pl.some(&Waiting{Job: j, Indexes: w.Indexes[:n], Lost: w.Lost}, &failed, false)
 			if done == 0 {
 				pl.hold(j)
--- /dev/null
+++ b/rules_test.go
@@ -0,0 +1,440 @@
+package cedardoor
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cedardoor/agent"
+	"cedardoor/internal/standin"
+	"cedardoor/peer"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func (s *site) usable(g *reign, host string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.fl.Machine(host)
+	return m != nil && g.usable(m, g.ck.Now())
+}
+
+// deliver hands a report to the leader without the worker learning the answer.
+func deliver(t *testing.T, g *reign, rep wire.Beat) wire.BeatAnswer {
+	t.Helper()
+	ans, ok := g.Beat(&rep)
+	if !ok {
+		t.Fatalf("beat of %s not answered", rep.Host)
+	}
+	return ans
+}
+
+// Runs or stays known: after refusals, an outage and a change of leaders have
+// ended, each accepted job is answered for by every node, and runs.
+func TestEveryJobIsAnsweredForAfterTroubles(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	beat(t, ga, w)
+	uids := []string{"j-1", "j-2", "j-3"}
+	s.submit(a, spec("j-1", nil))
+	s.resync(ga)
+	s.settle(ga)
+	s.submit(b, spec("j-2", nil))
+	s.state.Refuse("", true)
+	for _, n := range []*Service{a, b} {
+		code, _, head := s.ask(n, http.MethodPost, wire.PathRuns, spec("j-3", nil))
+		if code != http.StatusServiceUnavailable || head.Get("Retry-After") == "" {
+			t.Fatalf("submission in an outage: %d, Retry-After %q", code, head.Get("Retry-After"))
+		}
+	}
+	s.state.Refuse("", false)
+	stop()
+	// The same submission later succeeds, at any node.
+	s.submit(b, spec("j-3", nil))
+	gb, _ := s.elect(b)
+	beat(t, gb, w)
+	s.resync(gb)
+	s.settle(gb)
+	for _, n := range []*Service{a, b} {
+		for _, uid := range uids {
+			if code, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/"+uid, nil); code != http.StatusOK || v.UID != uid {
+				t.Errorf("%s after all troubles: %d %+v", uid, code, v)
+			}
+		}
+		if code, _, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-9", nil); code != http.StatusNotFound {
+			t.Errorf("a job that nobody submitted: %d", code)
+		}
+	}
+	if got := w.Live(); !cmp.Equal(got, []string{"j-1/0", "j-2/0", "j-3/0"}) {
+		t.Errorf("running: %v", got)
+	}
+}
+
+// A node answers no poll from what it knew before the poll came: what another
+// node has told since must not be taken back.
+func TestPollsAreNeverOlderThanAnswersGiven(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	s.submit(a, spec("j-1", nil))
+	for _, n := range []*Service{a, b} {
+		if code, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); code != 200 || v.Status != wire.JobQueued {
+			t.Fatalf("%d %+v", code, v)
+		}
+	}
+	if code, _, _ := s.ask(a, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 {
+		t.Fatalf("abort: %d", code)
+	}
+	if _, v, _ := s.ask(b, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobCancelled {
+		t.Errorf("the other node still says %q", v.Status)
+	}
+	s.submit(b, spec("j-2", nil))
+	s.state.Forget() // the history of changes is gone: all is read again
+	if code, v, _ := s.ask(a, http.MethodGet, wire.PathRuns+"/j-2", nil); code != 200 || v.Status != wire.JobQueued {
+		t.Errorf("after the history was gone: %d %+v", code, v)
+	}
+}
+
+// A deaf machine reports on while nothing told to it takes effect. It gets no
+// more work, its task is settled by the cloud's word, and it is gone.
+func TestDeafMachineIsReturned(t *testing.T) {
+	s, n, g, w := alone(t)
+	for i := range 4 { // others that hear, so that the fault is not the leader's
+		beat(t, g, s.worker(fmt.Sprintf("n-9%d", i), "z", false))
+	}
+	other := s.worker("n-2", "y", true)
+	w.Unreachable(true)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	for range 4 {
+		s.advance(3 * time.Second)
+		deliver(t, g, w.Report()) // its answer is lost
+		s.settle(g)
+	}
+	if s.usable(g, "n-1") {
+		t.Fatal("still given work")
+	}
+	beat(t, g, other)
+	if len(other.Starts()) != 0 {
+		t.Fatal("its task was started elsewhere without proof")
+	}
+	for known := true; known; {
+		g.probedAt = 0
+		g.probeSilent(t.Context())
+		g.mu.Lock()
+		known = g.fl.Machine("n-1") != nil
+		g.mu.Unlock()
+	}
+	// Whatever still comes from it is an old copy and brings nothing back.
+	deliver(t, g, w.Report())
+	g.mu.Lock()
+	back := g.fl.Machine("n-1") != nil
+	g.mu.Unlock()
+	if back {
+		t.Error("a returned machine came back with a late report")
+	}
+	s.settle(g)
+	if got := other.Starts(); len(got) != 1 {
+		t.Errorf("its task was not started elsewhere: %v", got)
+	}
+}
+
+// A machine that hears again is trusted again.
+func TestDeafMachineHearsAgain(t *testing.T) {
+	s, n, g, w := alone(t)
+	g.op.Fleet.Enabled = false // nothing is returned
+	w.Unreachable(true)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	for range 4 {
+		s.advance(3 * time.Second)
+		deliver(t, g, w.Report())
+		s.settle(g)
+	}
+	if s.usable(g, "n-1") && g.fl.Machine("n-1").Banned == "" {
+		t.Fatal("not banned")
+	}
+	w.Unreachable(false)
+	beat(t, g, w)
+	beat(t, g, w)
+	s.settle(g)
+	if !s.usable(g, "n-1") || g.fl.Machine("n-1").Banned != "" || len(w.Starts()) != 1 {
+		t.Errorf("banned %q after it heard again, starts %v", g.fl.Machine("n-1").Banned, w.Starts())
+	}
+}
+
+// When none hears, the fault is this leader's: another may be heard.
+func TestLeaderThatNobodyHearsAbdicates(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	var all []*standin.Worker
+	for i := range 4 {
+		w := s.worker("n-"+string(rune('1'+i)), "x", true)
+		beat(t, g, w)
+		w.Unreachable(true)
+		all = append(all, w)
+	}
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores = 4, 8 }))
+	s.resync(g)
+	for range 6 {
+		s.settle(g)
+		s.advance(2 * time.Second)
+		for _, w := range all {
+			rep := w.Report()
+			g.Beat(&rep) // the answer is lost
+		}
+	}
+	g.step(t.Context())
+	for s.state.Value(store.KeyLead, nil) {
+		time.Sleep(0)
+	}
+	if len(s.cloud.Asked()) != 0 && len(s.cloud.Hosts()) == 0 {
+		t.Error("machines were returned for the leader's own fault")
+	}
+}
+
+// A copy of an old report that reaches a new leader first proves nothing, does
+// not make the machine trusted, and moves nothing.
+func TestLateCopyReachesNewLeaderFirst(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	beat(t, ga, w)
+	old := w.Report() // shows nothing yet
+	s.submit(a, spec("j-1", nil))
+	s.resync(ga)
+	s.settle(ga)
+	stop()
+	gb, _ := s.elect(b)
+	deliver(t, gb, old)
+	deliver(t, gb, old)
+	if s.usable(gb, "n-1") {
+		t.Fatal("trusted on a copy from before the reign")
+	}
+	beat(t, gb, other)
+	s.settle(gb)
+	if len(other.Starts()) != 0 {
+		t.Fatalf("started elsewhere on the word of a late copy: %v", other.Starts())
+	}
+	beat(t, gb, w)
+	s.settle(gb)
+	deliver(t, gb, old)
+	s.settle(gb)
+	if len(w.Starts())+len(other.Starts()) != 1 {
+		t.Errorf("starts %v and %v", w.Starts(), other.Starts())
+	}
+}
+
+// A result in a late copy that the record does not know is nobody's: only the
+// attempt on record can end the task.
+func TestLateCopyBringsNoResult(t *testing.T) {
+	s, n, g, w := alone(t)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	copied := w.Report()
+	copied.Pieces = []wire.PieceReport{{Piece: "j-1/0", Try: 7, Status: wire.PieceEnded, Cause: wire.CauseDone}}
+	deliver(t, g, copied)
+	s.settle(g)
+	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status == wire.JobDone {
+		t.Error("done by an attempt that was never made")
+	}
+}
+
+// A machine that was silent is not given work on the word of one report, which
+// may have been held back all the while; its answer to a question is of now.
+func TestSilentMachineMustAnswer(t *testing.T) {
+	s, n, g, w := alone(t)
+	held := w.Report()
+	s.advance(8 * time.Second)
+	w.Unreachable(true)
+	deliver(t, g, held)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	if s.usable(g, "n-1") || len(w.Starts()) != 0 {
+		t.Fatal("revived by a late copy")
+	}
+	w.Unreachable(false)
+	beat(t, g, w)
+	s.settle(g)
+	beat(t, g, w)
+	s.settle(g)
+	if !s.usable(g, "n-1") || len(w.Starts()) != 1 {
+		t.Errorf("not trusted after it answered; starts %v", w.Starts())
+	}
+}
+
+// A worker that is back within a moment as a new process counts from the start
+// again. It is not ignored, and its predecessor's task starts once more, once.
+func TestMachineBackAsNewProcess(t *testing.T) {
+	s, n, g, w := alone(t)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	for range 5 {
+		beat(t, g, w)
+	}
+	w.Restart()
+	for range 3 {
+		s.advance(time.Second)
+		rep := w.Report()
+		w.Take(deliver(t, g, rep))
+		s.settle(g)
+	}
+	if got := w.Live(); !cmp.Equal(got, []string{"j-1/0"}) || len(w.Starts()) != 2 {
+		t.Errorf("on the machine %v, starts %v", got, w.Starts())
+	}
+	if !s.usable(g, "n-1") {
+		t.Error("the new process is ignored")
+	}
+}
+
+// A controller back within a moment does not wait for its own earlier hold to
+// lapse, and nothing that its predecessor left under way counts for it.
+func TestControllerBackWithinAMoment(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	before := g.r
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.state.DelayNext() // the old process's record of a placement arrives late
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { // until it is killed, it goes on trying
+		for s.state.Late() == 0 {
+			time.Sleep(0)
+		}
+		cancel()
+	}()
+	g.step(ctx)
+	s.kill(n)
+	s.nodes-- // the same node again
+	again := s.node(nil)
+	ga, _ := s.elect(again) // the clock stands still: no hold lapses
+	if ga.r.Warrant <= before.Warrant {
+		t.Fatalf("warrant %d after %d", ga.r.Warrant, before.Warrant)
+	}
+	s.state.Deliver()
+	if got := s.state.Keys(store.PrefixRuns); len(got) != 0 {
+		t.Errorf("the earlier process's late record was written: %v", got)
+	}
+	beat(t, ga, w)
+	s.settle(ga)
+	if got := w.Starts(); len(got) != 1 {
+		t.Errorf("starts %v, want one", got)
+	}
+}
+
+// Without the state service and the other controllers, a leader stops answering
+// beats before anybody else can act, sends no steward, tells users nothing and
+// is not healthy.
+func TestCutOffWithItsWorkers(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	n.links["other"], n.relays["other"] = peer.NewLink("127.0.0.1:1"), peer.NewLink("127.0.0.1:1")
+	n.users.Relay, n.users.Alone = n.relay, n.alone
+	g, _ := s.elect(n)
+	n.reign.Store(g)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	s.submit(n, spec("j-1", nil))
+	s.state.Refuse(n.cfg.Node, true)
+	s.advance(5 * time.Second)
+	rep := w.Report()
+	rec := httptest.NewRecorder()
+	raw, err := wire.Marshal(rep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent.ServeBeat(n)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(raw)))
+	if rec.Code != http.StatusServiceUnavailable {
+		t.Errorf("beat: %d %s", rec.Code, rec.Body)
+	}
+	s.settle(g)
+	if len(w.Starts()) != 0 {
+		t.Error("ordered something")
+	}
+	for _, path := range []string{"/j-1", "/j-2"} {
+		code, _, head := s.ask(n, http.MethodGet, wire.PathRuns+path, nil)
+		if code != http.StatusServiceUnavailable || head.Get("Retry-After") == "" {
+			t.Errorf("poll %s: %d, Retry-After %q", path, code, head.Get("Retry-After"))
+		}
+	}
+	if code, _, _ := s.ask(n, http.MethodGet, wire.PathHealth, nil); code == http.StatusOK {
+		t.Error("healthy though it can serve nobody")
+	}
+}
+
+// A node that was not told for a while who leads sends workers nowhere.
+func TestStewardIsForgotten(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	s.elect(a)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go b.el.Run(ctx, b.lead)
+	for b.Leader() != a.cfg.Node {
+		time.Sleep(0)
+	}
+	s.state.Refuse(b.cfg.Node, true)
+	s.advance(6 * time.Second)
+	if got := b.Leader(); got != "" {
+		t.Errorf("still sends workers to %q", got)
+	}
+}
+
+// A job that waits long begins although work of higher rank keeps coming: a few
+// of its tasks go first, and room is kept for them.
+func TestLargeJobBeginsUnderLastingOverload(t *testing.T) {
+	s, n, g, w := alone(t) // 8 cores
+	uid := 100
+	next := func() string {
+		uid++
+		return "j-" + string(rune('0'+uid/100)) + string(rune('0'+uid/10%10)) + string(rune('0'+uid%10))
+	}
+	small := func() {
+		s.submit(n, spec(next(), func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.Owner = "high", 1, 4, "team" }))
+	}
+	for range 6 {
+		small()
+	}
+	s.resync(g)
+	s.settle(g)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 3, 8, 20 }))
+	s.resync(g)
+	began := 0
+	for at := 0; at < 240; at += 4 {
+		s.advance(4 * time.Second)
+		// One of the two small tasks ends each time, and another job comes.
+		if live := w.Live(); len(live) > 0 {
+			if live[0][:4] == "j-1/" {
+				began = at
+				break
+			}
+			w.End(live[0], wire.CauseDone)
+			small()
+		}
+		beat(t, g, w)
+		s.resync(g)
+		s.settle(g)
+		beat(t, g, w)
+		s.settle(g)
+	}
+	if began == 0 {
+		t.Error("the large job did not begin within four minutes")
+	}
+}
--- a/service.go
+++ b/service.go
@@ -62,7 +62,7 @@
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
-	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/4))
+	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/8))
 	for _, o := range cfg.Others {
 		s.links[o.Node] = peer.NewLink(o.Addr)
 		s.relays[o.Node] = peer.NewLink(o.Addr)
@@ -71,6 +71,7 @@
 	s.users = &api.Users{Store: s.st, Clock: s.ck, Node: cfg.Node, Teams: f.Teams, Catalog: s.catalog, Counts: s.counts, Log: log, Observe: s.met.Submission}
 	if len(s.links) > 0 {
 		s.users.Relay = s.relay
+		s.users.Alone = s.alone
 	}
 	s.front = chi.NewRouter()
 	s.users.Routes(s.front)
@@ -96,7 +97,7 @@
 	var wg sync.WaitGroup
 	failed := make(chan error, 2)
 	wg.Go(func() {
-		failed <- srv.Serve(newLimit(front, max(8, s.cfg.Facts.Limits.FDLimit*6/10)))
+		failed <- srv.Serve(newLimit(front, max(8, s.cfg.Facts.Limits.FDLimit*78/100)))
 	})
 	if s.op.Metrics.Listen != "" {
 		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.met.Handler(), ReadHeaderTimeout: 10 * time.Second}
@@ -208,6 +209,25 @@
 	return 0, nil, false
 }
 
+// alone tells whether no other controller answers.
+func (s *Service) alone(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+	defer cancel()
+	answers := make(chan bool, len(s.relays))
+	for _, l := range s.relays {
+		go func() {
+			_, err := l.Ask(ctx, peer.Ask{})
+			answers <- err == nil
+		}()
+	}
+	for range s.relays {
+		if <-answers {
+			return false
+		}
+	}
+	return true
+}
+
 // attest asks every other controller whether the state service refuses it too.
 // Only when all say so, freshly, can nobody else be leading.
 func (s *Service) attest(ctx context.Context) bool {
--- a/silent.go
+++ b/silent.go
@@ -140,7 +140,6 @@
 	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
 	case err == nil && rep.Host == m.Name:
 		g.news(g.fl.Answers(now, known, rep), now)
-		g.wake()
 	case now-m.LastBeat < report && !m.Suspect:
 		// It reports: only this question was lost.
 	default:
@@ -153,6 +152,7 @@
 		}
 	}
 	g.mu.Unlock()
+	g.wake()
 	if giveUp {
 		g.giveBack(ctx, []string{m.Name})
 	}
--- a/sizing.go
+++ b/sizing.go
@@ -256,11 +256,19 @@
 		g.arrivals = g.arrivals[1:]
 	}
 	var rate cloud.Load
+	var square float64
+	recent := 0
 	for _, a := range g.arrivals {
 		rate.Cores += a.work.Cores
 		rate.RAM += a.work.RAM
 		rate.Accel += a.work.Accel
+		square += a.work.Cores * a.work.Cores
+		if now-a.at <= recently {
+			recent++
+		}
 	}
+	headroom := spread(rate.Cores, square, f.Headroom)
+	fade := g.fading(recent, now, window)
 	span := window.Seconds()
 	if g.seeded == (cloud.Load{}) {
 		span = min(span, max(span/2, (now-g.r.Since).Seconds()))
@@ -270,11 +278,12 @@
 		rate.RAM += g.seeded.RAM * (span - age)
 		rate.Accel += g.seeded.Accel * (span - age)
 	}
+	span /= fade
 	rate = cloud.Load{Cores: rate.Cores / span, RAM: rate.RAM / span, Accel: rate.Accel / span}
 	g.rate = rate
 	need.Loaned, need.Pressing = rate, pressing
-	need.Loaned.Cores *= 1 + f.Headroom
-	need.Loaned.RAM *= 1 + f.Headroom
+	need.Loaned.Cores *= 1 + headroom
+	need.Loaned.RAM *= 1 + headroom
 	if work.Cores > need.Loaned.Cores {
 		need.Loaned = work
 	}
@@ -319,6 +328,30 @@
 	return need
 }
 
+// recently is the span in which a rate of arrivals that has fallen shows first.
+const recently = 30 * clock.Second
+
+// spread is the headroom that the work arriving in a window calls for: its own
+// standard error, as a share. Many small jobs vary less in sum than a few large.
+func spread(sum, square, most float64) float64 {
+	if sum <= 0 {
+		return most
+	}
+	return min(most, math.Sqrt(square)/sum)
+}
+
+// fading is the share of the rate seen over the window that the last short
+// while still bears out: one, unless clearly fewer jobs came in it than at that
+// rate. When work stops coming, the machines for it can go soon. The caller holds mu.
+func (g *reign) fading(recent int, now, window clock.Micros) float64 {
+	if now-g.r.Since < window || len(g.arrivals) == 0 {
+		return 1
+	}
+	n := float64(recent)
+	likely := (n + 2*math.Sqrt(n) + 2) / recently.Seconds()
+	return max(0.05, min(1, likely*window.Seconds()/float64(len(g.arrivals))))
+}
+
 // keepDemand records the rate of arriving work, so that a new leader does not
 // take its own ignorance for a lack of work and give machines up.
 func (g *reign) keepDemand(ctx context.Context) {
--- a/step.go
+++ b/step.go
@@ -177,7 +177,7 @@
 			return
 		}
 		j, ok := b.Tag.(*job)
-		if !ok || j.standing() || j.group() || j.cancelled || j.pieces[b.Piece.Index].booking != b {
+		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.pieces)-j.done-len(j.waiting) <= plan.AgedTasks || j.pieces[b.Piece.Index].booking != b {
 			return
 		}
 		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Job: j.pj, Rank: j.rank,
@@ -202,17 +202,12 @@
 // tasks go before work of higher rank.
 const agedAfter = 75 * clock.Second
 
-// picture readies the picture for a plan: what was touched is brought up to
-// date, and the tasks that wait are listed. The caller holds mu.
+// picture readies the picture for a plan: it lists the tasks that wait. The
+// caller holds mu.
 func (g *reign) picture(now clock.Micros, round bool) *plan.Picture {
 	p := g.pic
 	g.seq++
 	p.Seed, p.Now = g.seq, now
-	for m := range g.touched {
-		if !g.refresh(m, now) {
-			delete(g.touched, m)
-		}
-	}
 	p.Waiting, p.Candidates = p.Waiting[:0], p.Candidates[:0]
 	g.entitle(now)
 	wall := g.ck.Wall()
@@ -319,7 +314,13 @@
 // plan makes a plan and books it. The caller holds mu.
 func (g *reign) plan(now clock.Micros) {
 	round := now >= g.repairAt
-	if !round && (len(g.queue) == 0 || len(g.touched) == 0 && !g.fresh && now < g.triedAt+tick) {
+	changed := len(g.touched) > 0 || g.fresh
+	for m := range g.touched {
+		if !g.refresh(m, now) {
+			delete(g.touched, m)
+		}
+	}
+	if !round && (len(g.queue) == 0 || !changed && now < g.triedAt+tick) {
 		return // nothing waits, or nothing has changed since it found no room
 	}
 	if round {
@@ -337,6 +338,7 @@
 		pc.try++
 		b := g.booking(j, l.Task.Index, pc.try)
 		b.Tenure = m.Tenure
+		j.spared = j.spared || j.pj.Aged
 		g.fl.Reserve(m, b, now)
 		pc.state, pc.booking = piecePlaced, b
 		j.touch(l.Task.Index)
--- a/store/client.go
+++ b/store/client.go
@@ -64,6 +64,7 @@
 	limits   config.State
 	nodes    int
 	timeout  time.Duration
+	retry    *rate.Limiter
 	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
 
@@ -78,12 +79,19 @@
 	leadWrites, otherWrites     = 0.8, 0.35
 )
 
+// retryEvery is how often a service that fails is tried for users' sake.
+const retryEvery = 250 * time.Millisecond
+
+// Retry tells whether it is time to try a failing service again.
+func (c *Client) Retry() bool { return c.retry.Allow() }
+
 // New makes a Client for one of so many nodes. The limits are the whole
 // service's, so each node plans with a share of them; see Lead.
 func New(addr string, limits config.State, nodes int) *Client {
 	const dial = 1500 * clock.Millisecond
 	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second,
-		limits: limits, nodes: max(1, nodes), requests: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0)}
+		limits: limits, nodes: max(1, nodes), requests: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
+		retry: rate.NewLimiter(rate.Every(retryEvery), 1)}
 	c.Lead(nodes <= 1)
 	return c
 }
