Sizing follows work down; silent machines are replaced sooner; returns go together

In a cut, machines with replicas were returned one a request, which held up the rentals that should have replaced them; after a change of leaders silent machines counted as there for 45 s. Change: what is held fades with the rate, headroom goes with the square of the spread, 4% of the ordinary machines may be emptied at once, what is found at the start counts less and less. Silent machines count as lost after two reports; returns go in one request; a cut zone is waited for. Spreading is at most a fifth of a round's moves, onto machines with the image; a warm machine may take a second replica before a cold one takes the first. Contradictory settings are refused.

--- a/cloud/client.go
+++ b/cloud/client.go
@@ -31,7 +31,7 @@
 
 // New makes a Client that stays within the given requests per second.
 func New(addr string, rps float64) *Client {
-	return &Client{base: "http://" + addr, limit: rate.NewLimiter(rate.Limit(rps*0.75), max(1, int(rps))),
+	return &Client{base: "http://" + addr, limit: rate.NewLimiter(rate.Limit(rps*0.9), max(1, int(rps))),
 		http: link.Client(2*clock.Second, 4, 0)}
 }
 
--- a/cloud/size.go
+++ b/cloud/size.go
@@ -157,10 +157,16 @@
 		taken[name] = true
 	}
 	// What is too much goes: dearest per core first, emptiest first among equals.
-	moving := false
+	moving, may := 0, 0
 	for _, h := range held {
-		moving = moving || h.Cordoned && h.Standing > 0
+		if h.Cordoned && h.Standing > 0 {
+			moving++
+		}
+		if !h.Loaned && h.Up {
+			may++
+		}
 	}
+	may = max(1, int(float64(may)*emptied))
 	surplus := func(loaned bool, over float64, load Load) {
 		var list []Held
 		for _, h := range held {
@@ -204,15 +210,15 @@
 			}
 			if h.Standing > 0 {
 				// Its replicas have to be moved, and a machine rented in its stead later
-				// would be cold: only when there is clearly too much, one machine at a
-				// time, and not while another is still being emptied.
-				if moving || over-w < 0.12*ordWant {
+				// would be cold: only when there is clearly too much, and a few machines
+				// at a time.
+				if moving >= may || over-w < min(0.12*ordWant, max(2*w, 0.06*ordWant)) {
 					if !loaned {
 						room[h.Yard] += worth(kept, need.Ordinary, 0) - h.Firm
 					}
 					continue
 				}
-				moving = true
+				moving++
 			}
 			v.Cordon = append(v.Cordon, h.Name)
 			over -= w
@@ -274,6 +280,12 @@
 	return ""
 }
 
+// emptied is the share of the ordinary machines that may be emptied at once.
+const emptied = 0.04
+
+// alike is how much more an offer may cost and still be taken for its sooner boot.
+const alike = 0.05
+
 // rent fills a shortage with the machines that cost least per core of the
 // load, all of one kind, and gives how many it asked for.
 func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
@@ -283,6 +295,7 @@
 		loaned bool
 		price  float64
 		worth  float64
+		class  int // of price: offers within a few hundredths of the cheapest are alike
 	}
 	var offers []offer
 	for _, b := range builds {
@@ -296,10 +309,17 @@
 				price = b.Spot
 			}
 			if price > 0 && !refused(b.SKU, y, loaned) {
-				offers = append(offers, offer{b, y, loaned, price / w, w})
+				offers = append(offers, offer{b: b, yard: y, loaned: loaned, price: price / w, worth: w})
 			}
 		}
 	}
+	least := math.Inf(1)
+	for _, o := range offers {
+		least = min(least, o.price)
+	}
+	for i := range offers {
+		offers[i].class = int((offers[i].price/least - 1) / alike)
+	}
 	asked := 0
 	for missing > 0.5 && asked < most && len(offers) > 0 {
 		sort.SliceStable(offers, func(i, j int) bool {
@@ -307,6 +327,12 @@
 			if apart && zoneHave[a.yard] != zoneHave[b.yard] {
 				return zoneHave[a.yard] < zoneHave[b.yard]
 			}
+			if a.class != b.class {
+				return a.class < b.class
+			}
+			if a.b.ReadyS != b.b.ReadyS {
+				return a.b.ReadyS < b.b.ReadyS
+			}
 			if math.Abs(a.price-b.price) > 1e-9 {
 				return a.price < b.price
 			}
--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 
 	"cedardoor/clock"
@@ -111,6 +112,13 @@
 	return &p, nil
 }
 
+// The least that records need of the state service: a full record of a job's
+// tasks, and the two changes with which a job ends beside one of its records.
+const (
+	LeastValueKB = 8
+	LeastTxnOps  = 3
+)
+
 func (p *Platform) check() error {
 	addrs := []struct{ field, value string }{
 		{"client_listen", p.ClientListen}, {"back", p.Back},
@@ -157,6 +165,21 @@
 	if len(f.Teams) == 0 {
 		return fmt.Errorf("facts.teams: missing")
 	}
+	if len(f.Zones) == 0 || slices.Contains(f.Zones, "") {
+		return fmt.Errorf("facts.zones: missing, or one has no name")
+	}
+	if !slices.Contains(f.Zones, p.Area) {
+		return fmt.Errorf("area: %q is not among facts.zones", p.Area)
+	}
+	if f.State.ValueKB < LeastValueKB {
+		return fmt.Errorf("facts.state.value_kb: %v is too small for one record, which takes %d", f.State.ValueKB, LeastValueKB)
+	}
+	if f.State.TxnOps < LeastTxnOps {
+		return fmt.Errorf("facts.state.txn_ops: %d is too small for one change of a job, which takes %d", f.State.TxnOps, LeastTxnOps)
+	}
+	if f.Workers.LeaseS < 2*f.Workers.ReportS {
+		return fmt.Errorf("facts.workers.lease_s: shorter than two of facts.workers.report_s")
+	}
 	if f.SkewMS < 0 || f.Cloud.ListLagS < 0 {
 		return fmt.Errorf("facts.skew_ms or facts.cloud.list_lag_s: negative")
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -50,6 +50,17 @@
 		{"others[0].node", func(p map[string]any) { p["others"] = []any{map[string]any{"node": "a", "addr": "h:1"}} }},
 		{"facts.workers.lease_s", func(p map[string]any) { p["facts"].(map[string]any)["workers"] = map[string]any{"report_s": 1} }},
 		{"facts.state.rps", func(p map[string]any) { p["facts"].(map[string]any)["state"] = map[string]any{"rps": -1} }},
+		{"facts.zones", func(p map[string]any) { delete(p["facts"].(map[string]any), "zones") }},
+		{"area", func(p map[string]any) { p["area"] = "elsewhere" }},
+		{"facts.state.value_kb", func(p map[string]any) {
+			p["facts"].(map[string]any)["state"] = map[string]any{"rps": 80, "write_rps": 30, "value_kb": 4, "txn_ops": 24}
+		}},
+		{"facts.state.txn_ops", func(p map[string]any) {
+			p["facts"].(map[string]any)["state"] = map[string]any{"rps": 80, "write_rps": 30, "value_kb": 8, "txn_ops": 1}
+		}},
+		{"facts.workers.lease_s", func(p map[string]any) {
+			p["facts"].(map[string]any)["workers"] = map[string]any{"report_s": 3, "lease_s": 4, "cancel_s": 40}
+		}},
 		{"facts.teams", func(p map[string]any) { p["facts"].(map[string]any)["teams"] = []any{} }},
 	}
 	for _, tt := range tests {
@@ -59,6 +70,17 @@
 			t.Errorf("%s: error %v", tt.field, err)
 		}
 	}
+	// More controllers than zones, and many teams, are nothing unusual.
+	p := platform()
+	p["others"] = []any{map[string]any{"node": "b", "area": "x", "addr": "h:1"}, map[string]any{"node": "c", "area": "x", "addr": "h:2"}}
+	var teams []any
+	for i := range 200 {
+		teams = append(teams, map[string]any{"name": strings.Repeat("t", i+1)})
+	}
+	p["facts"].(map[string]any)["teams"] = teams
+	if _, err := LoadPlatform(write(t, p)); err != nil {
+		t.Error(err)
+	}
 	if _, err := LoadPlatform(write(t, []byte("{not json"))); err == nil {
 		t.Error("not JSON: no error")
 	}
--- a/engine.go
+++ b/engine.go
@@ -131,6 +131,7 @@
 	probes   int
 	probed   map[string]clock.Micros // machines asked because of an old report, and when
 	deaf     int                     // machines banned as deaf
+	mute     map[*fleet.Machine]bool // silent machines that answered no question
 	catalog  wire.Catalog
 	catStamp uint64
 	busy     map[string]bool // machines with a /do in flight
@@ -164,7 +165,7 @@
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
-		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, probed: map[string]clock.Micros{},
+		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
 	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
 	for _, t := range s.cfg.Facts.Teams {
--- a/engine_test.go
+++ b/engine_test.go
@@ -592,6 +592,7 @@
 
 func TestBeatWithoutHold(t *testing.T) {
 	s, n, g, w := alone(t)
+	n.links["other"] = peer.NewLink("127.0.0.1:1") // nobody attests
 	s.state.Refuse(n.cfg.Node, true)
 	s.clk.Advance(6 * time.Second)
 	rep := w.Report()
@@ -847,6 +848,8 @@
 			g.mu.Unlock()
 		}
 	}
+	g.probedAt = 0
+	g.probeSilent(t.Context())
 	for gone := false; !gone; runtime.Gosched() {
 		g.mu.Lock()
 		gone = g.fl.Machine("n-1") == nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,6 +131,7 @@
 	byKey  map[key]*Booking
 	live   int // bookings that may be on it
 	strays map[key]stray
+	missed bool   // a direct command did not get through since the last beat
 	told   uint64 // the warrant in the last answer
 	seen   []byte // the task list of the last report, as it came
 	steady bool   // that list holds no news and asks for no orders
@@ -457,7 +458,10 @@
 	}
 	m.Tenure, m.Tally = rep.Tenure, rep.Tally
 	// A report made after an answer shows its warrant, if the answer was heard.
-	unheard := viaBeat && rep.Warrant < m.told
+	unheard := viaBeat && (rep.Warrant < m.told || m.missed)
+	if viaBeat {
+		m.missed = false
+	}
 	if rep.Warrant > m.Warrant {
 		m.Warrant = rep.Warrant
 		f.Obeyed(m)
@@ -560,7 +564,8 @@
 	m.steady = steady
 	m.seen = append(m.seen[:0], rep.Raw...)
 	if unheard {
-		f.Unheard(m)
+		m.Unheard++
+		f.touch(m)
 	}
 	return news, true
 }
@@ -573,15 +578,12 @@
 	if m.Unheard > 0 {
 		f.touch(m)
 	}
-	m.Unheard = 0
+	m.Unheard, m.missed = 0, false
 }
 
-// Unheard notes that something told to the worker took no effect: the answer
-// to its beat, or a direct command.
-func (f *Fleet) Unheard(m *Machine) {
-	m.Unheard++
-	f.touch(m)
-}
+// Missed notes that a direct command did not get through. It is a sign only
+// once the worker reports again: a silent machine is not a deaf one.
+func (f *Fleet) Missed(m *Machine) { m.missed = true }
 
 // Deaf tells whether nothing told to the machine takes effect although it reports.
 func (m *Machine) Deaf() bool { return m.Unheard >= deafSigns }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -379,3 +379,34 @@
 		t.Errorf("looking for what has expired visits %d and %d, want the same and few", se, le)
 	}
 }
+
+// Signs of deafness besides lost runs: a warrant that is told and never shown,
+// and direct commands that fail while reports come. Silence alone is no sign.
+func TestSignsOfDeafness(t *testing.T) {
+	f, m, _ := booked(t)
+	f.Report(2, rep(1, 2, 5, shown(wire.PieceRunning, "")), true)
+	for tally := uint64(3); tally < 3+deafSigns; tally++ {
+		f.Answered(m, 2, 6)
+		f.Report(3, rep(1, tally, 5, shown(wire.PieceRunning, "")), true)
+	}
+	if !m.Deaf() {
+		t.Error("not deaf though it never showed the warrant it was told")
+	}
+	f.Report(4, rep(1, 20, 6, shown(wire.PieceRunning, "")), true)
+	if m.Deaf() {
+		t.Error("still deaf after it showed the warrant")
+	}
+	for range 2 * deafSigns {
+		f.Missed(m)
+	}
+	if m.Deaf() {
+		t.Error("deaf on failed commands alone, though it may just be silent")
+	}
+	for tally := uint64(21); tally < 21+deafSigns; tally++ {
+		f.Missed(m)
+		f.Report(5, rep(1, tally, 6, shown(wire.PieceRunning, "")), true)
+	}
+	if !m.Deaf() {
+		t.Error("not deaf though commands fail while its reports come")
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -21,6 +21,7 @@
 	Full     bool // has no capacity
 	LoseNext bool // executes the next rental without an answer
 	asked    []wire.RentRequest
+	returns  [][]string
 }
 
 // NewCloud makes a cloud with one machine type in the given zones.
@@ -42,6 +43,13 @@
 	return append([]wire.RentRequest(nil), c.asked...)
 }
 
+// Returns lists the names in each request to return machines.
+func (c *Cloud) Returns() [][]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([][]string(nil), c.returns...)
+}
+
 // ServeHTTP is the cloud's interface.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -57,6 +65,7 @@
 	case r.URL.Path == wire.PathReturn:
 		var q wire.Hosts
 		_ = msgpack.Unmarshal(body, &q)
+		c.returns = append(c.returns, q.Hosts)
 		gone := map[string]bool{}
 		for _, h := range q.Hosts {
 			gone[h] = true
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -516,8 +516,10 @@
 
 func better(j *Job, a, b *Machine) bool {
 	if j.Standing {
-		// Spread: replicas on distinct machines while there are enough of them.
-		if x, y := j.Machines[a.Name], j.Machines[b.Name]; x != y {
+		// Spread: replicas on distinct machines while there are enough of them; but
+		// a machine that has the image and one replica goes before one that would
+		// have to fetch it, for users wait the while.
+		if x, y := crowd(j, a), crowd(j, b); x != y {
 			return x < y
 		}
 	}
@@ -539,6 +541,16 @@
 	return a.Name < b.Name
 }
 
+// crowd ranks machines for one more replica: by how many are there already,
+// where to have no image counts like one and a half more.
+func crowd(j *Job, m *Machine) int {
+	n := 2 * j.Machines[m.Name]
+	if m.Images[j.Bundle] != ImageHeld {
+		n += 3
+	}
+	return n
+}
+
 func (pl *planner) place(j *Job, index int, m *Machine) {
 	pl.book(j, m)
 	pl.out.Launch = append(pl.out.Launch, Placement{Task: TaskID{j.UID, index}, Machine: m.Name})
@@ -743,7 +755,7 @@
 		}
 		// Until the stop is confirmed the task is still where it was: it counts
 		// against the zone cap and the limit in both places.
-		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason == ReasonDrain && m.Images[c.Job.Bundle] != ImageHeld {
+		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason != ReasonBan && c.Job.Bundle != "" && m.Images[c.Job.Bundle] != ImageHeld {
 			pl.count(c.Job, from.Yard, from.Name, 1)
 			pl.use(c.Job, 1)
 			if c.Reason != ReasonDrain {
@@ -760,15 +772,27 @@
 	}
 	// Into machines that nobody leaves first.
 	sort.SliceStable(moves, func(i, k int) bool { return moves[i].m.leaving == 0 && moves[k].m.leaving > 0 })
-	for n, mv := range moves {
-		if pl.MoveCap > 0 && n >= pl.MoveCap {
-			pl.out.Deferred += len(moves) - n
-			break
+	apart := 0
+	for _, mv := range moves {
+		if mv.c.Reason == ReasonSpread {
+			// Replicas that share a machine run all the same, and a move restarts them:
+			// a few a round, so that spreading a young site costs its users little.
+			if apart++; pl.MoveCap > 0 && apart > max(1, pl.MoveCap/spreadPart) {
+				pl.out.Deferred++
+				continue
+			}
+		}
+		if pl.MoveCap > 0 && len(pl.out.Moves) >= pl.MoveCap {
+			pl.out.Deferred++
+			continue
 		}
 		pl.out.Moves = append(pl.out.Moves, Move{Task: TaskID{mv.c.Job.UID, mv.c.Index}, From: mv.c.Machine, To: mv.m.Name, Reason: mv.c.Reason})
 	}
 }
 
+// spreadPart is the part of a round's moves that may go to spreading.
+const spreadPart = 5
+
 // stays tells whether the current machine is viable after all: it breaks no
 // rule once the others have been dealt with.
 func (pl *planner) stays(c Candidate, from *Machine) bool {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -304,3 +304,101 @@
 		}
 	}
 }
+
+// A sample without a fit is no answer: the only machine with room is found
+// among hundreds.
+func TestSampleIsNoAnswer(t *testing.T) {
+	p := &Picture{Sample: 8}
+	for i := range 600 {
+		m := machine(fmt.Sprintf("m%03d", i), "x", 1, 100)
+		if i == 437 {
+			m.Cores = 4
+		}
+		p.Put(m)
+	}
+	for seed := range uint64(20) {
+		p.Seed = seed
+		p.Waiting = []Waiting{{Job: newJob("j-1", 1, 4, 4), Indexes: indexes(1)}}
+		if got := Make(p).Launch; len(got) != 1 || got[0].Machine != "m437" {
+			t.Fatalf("seed %d: launched %v, want on the one machine with room", seed, got)
+		}
+	}
+}
+
+// A sample keeps the paper's order: of what it holds, most free memory first.
+func TestSampleKeepsWorstFit(t *testing.T) {
+	p := &Picture{Sample: 16}
+	for i := range 400 {
+		p.Put(machine(fmt.Sprintf("m%03d", i), "x", 8, float64(10+i%40)))
+	}
+	p.Waiting = []Waiting{{Job: newJob("j-1", 5, 1, 1), Indexes: indexes(5)}}
+	for _, l := range Make(p).Launch {
+		if m := p.Machine(l.Machine); m.RAM < 45 {
+			t.Errorf("placed on %s with %v GB free of at most 49", m.Name, m.RAM)
+		}
+	}
+}
+
+// What a plan costs follows what there is to place, not how many machines there are.
+func TestWorkOfPlans(t *testing.T) {
+	visits := func(machines int) int {
+		p := &Picture{Sample: 16, Preempt: true}
+		for i := range machines {
+			m := machine(fmt.Sprintf("m%04d", i), string(rune('x'+i%3)), 8, 32)
+			m.Images["img"] = ImageHeld
+			p.Put(m)
+		}
+		j := newJob("j-1", 20, 2, 4)
+		j.Bundle = "img"
+		p.Waiting = []Waiting{{Job: j, Indexes: indexes(20)}}
+		res := Make(p)
+		if len(res.Launch) != 20 {
+			t.Fatalf("launched %d of 20", len(res.Launch))
+		}
+		return res.Visits
+	}
+	if few, many := visits(100), visits(3000); many > 2*few {
+		t.Errorf("%d machines looked at among 100, %d among 3000", few, many)
+	}
+}
+
+// A plan leaves the picture as it found it.
+func TestPlanRestoresThePicture(t *testing.T) {
+	p := &Picture{Team: map[string]*Quota{"t": {CoresMax: 100}}, Preempt: true, MoveCap: 3}
+	a, b := machine("a", "x", 4, 8), machine("b", "y", 8, 32)
+	a.Banned = "sick"
+	b.Lower = []Victim{{Task: TaskID{"j-9", 0}, Rank: wire.RankLow, Cores: 2, RAM: 2}}
+	p.Put(a)
+	p.Put(b)
+	j, k := newJob("j-1", 3, 3, 4), newJob("j-2", 1, 1, 1)
+	k.Rank = wire.RankHigh
+	k.Zones["x"], k.Machines["a"] = 1, 1
+	snap := func() string {
+		return fmt.Sprint(a.Cores, a.RAM, b.Cores, b.RAM, b.StopCores, b.Lower, *p.Team["t"], j.Zones, j.Machines, k.Zones, k.Machines, len(p.index.open[ordinary][level(b.RAM)]))
+	}
+	before := snap()
+	p.Waiting = []Waiting{{Job: j, Indexes: indexes(3)}}
+	p.Candidates = []Candidate{{Job: k, Machine: "a", Reason: ReasonBan}}
+	if res := Make(p); len(res.Launch) == 0 || len(res.Moves) == 0 {
+		t.Fatalf("nothing planned: %+v", res)
+	}
+	if after := snap(); after != before {
+		t.Errorf("before %s\nafter  %s", before, after)
+	}
+}
+
+// Replicas that share a machine are spread a few a round: each move restarts one.
+func TestSpreadingGoesSlowly(t *testing.T) {
+	p := &Picture{MoveCap: 10}
+	p.Put(machine("a", "x", 0, 0))
+	j := newJob("j-1", 12, 1, 1)
+	j.Standing = true
+	j.Count("x", "a", 12)
+	for i := range 12 {
+		p.Put(machine(fmt.Sprintf("m%02d", i), "y", 8, 32))
+		p.Candidates = append(p.Candidates, Candidate{Job: j, Index: i, Machine: "a", Reason: ReasonSpread})
+	}
+	if res := Make(p); len(res.Moves) != p.MoveCap/spreadPart {
+		t.Errorf("%d moves, want %d", len(res.Moves), p.MoveCap/spreadPart)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -390,8 +390,8 @@
 	for b.Leader() != a.cfg.Node {
 		time.Sleep(0)
 	}
-	s.state.Refuse(b.cfg.Node, true)
-	s.advance(6 * time.Second)
+	defer s.state.Stall()() // from here on the store says nothing at all
+	s.clk.Advance(6 * time.Second)
 	if got := b.Leader(); got != "" {
 		t.Errorf("still sends workers to %q", got)
 	}
@@ -438,3 +438,76 @@
 		t.Error("the large job did not begin within four minutes")
 	}
 }
+
+// silence lets machines with a replica each fall silent while others report,
+// and asks them until they count as mute.
+func (s *site) silence(g *reign, n *Service, zones []string, others int) {
+	s.t.Helper()
+	var hung []*standin.Worker
+	for i, z := range zones {
+		w := s.worker(fmt.Sprintf("n-1%d", i), z, false)
+		beat(s.t, g, w)
+		hung = append(hung, w)
+	}
+	s.submit(n, spec("j-1", func(sp *wire.Spec) {
+		sp.Shape, sp.Rank, sp.Loaned, sp.Pieces = wire.ShapeStanding, "critical", false, len(zones)
+	}))
+	s.resync(g)
+	s.settle(g)
+	for _, w := range hung {
+		beat(s.t, g, w)
+		w.Unreachable(true)
+	}
+	var rest []*standin.Worker
+	for i := range others {
+		rest = append(rest, s.worker(fmt.Sprintf("n-2%02d", i), "y", true))
+	}
+	for range 2 {
+		for _, w := range rest {
+			beat(s.t, g, w)
+		}
+		s.advance(3 * time.Second)
+	}
+	for _, w := range rest {
+		beat(s.t, g, w)
+	}
+	for range muteAfter {
+		g.probedAt = 0
+		g.probeSilent(s.t.Context())
+		s.settle(g)
+	}
+	g.probedAt = 0
+	g.probeSilent(s.t.Context())
+}
+
+// Silent machines with replicas are returned together, in one request.
+func TestSilentMachinesGoInOneRequest(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.silence(g, n, []string{"y", "y"}, 12)
+	for len(s.cloud.Returns()) == 0 {
+		time.Sleep(0)
+	}
+	if got := s.cloud.Returns(); len(got) != 1 || !cmp.Equal(got[0], []string{"n-10", "n-11"}) {
+		t.Errorf("returned %v", got)
+	}
+}
+
+// A zone that falls silent as a whole is cut off: its replicas run on until
+// their leases end, so it is replaced, but not returned.
+func TestCutZoneIsWaitedFor(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.silence(g, n, []string{"x", "x", "x"}, 18)
+	if got := s.cloud.Returns(); len(got) != 0 {
+		t.Errorf("returned %v", got)
+	}
+	g.mu.Lock()
+	muted := len(g.mute)
+	g.mu.Unlock()
+	if muted != 3 {
+		t.Errorf("%d machines mute, want 3", muted)
+	}
+}
--- a/silent.go
+++ b/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
@@ -63,6 +64,7 @@
 				g.ask(m)
 			}
 		}
+		g.returnMute(ctx, silent)
 	}
 	if g.deaf > 0 && g.few(g.deaf) {
 		var names []string
@@ -80,6 +82,43 @@
 	}
 }
 
+// returnMute returns the machines that gave no answer, in one request. Those of
+// a zone that is silent for the most part are left alone: it is cut off, its
+// replicas run on until their leases end, and new machines take longer to boot
+// than that. The caller holds mu.
+func (g *reign) returnMute(ctx context.Context, silent []*fleet.Machine) {
+	if len(g.mute) == 0 {
+		return
+	}
+	quiet, all := map[string]int{}, map[string]int{}
+	for _, m := range silent {
+		quiet[m.Yard]++
+	}
+	g.fl.All(func(m *fleet.Machine) {
+		if m.Beaten || g.unheard[m] {
+			all[m.Yard]++
+		}
+	})
+	var names []string
+	for m := range g.mute {
+		switch {
+		case g.fl.Machine(m.Name) != m || m.Returning || m.Mute < muteAfter || !g.hasReplica(m):
+			delete(g.mute, m)
+		case quiet[m.Yard] >= 3 && 2*quiet[m.Yard] > all[m.Yard] && m.Beaten:
+		case len(names) < wire.MaxReturn:
+			m.Returning = true
+			g.touched[m] = true
+			delete(g.mute, m)
+			names = append(names, m.Name)
+		}
+	}
+	if len(names) > 0 {
+		slices.Sort(names)
+		g.log.Info("machines are silent and hold replicas: returning them", "hosts", names)
+		go g.giveBack(ctx, names)
+	}
+}
+
 // deafOnes finds the machines that are banned as deaf. The caller holds mu.
 func (g *reign) deafOnes() map[string]*fleet.Machine {
 	out := map[string]*fleet.Machine{}
@@ -135,7 +174,6 @@
 	g.mu.Lock()
 	m.Probing = false
 	g.probes--
-	giveUp := false
 	switch {
 	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
 	case err == nil && rep.Host == m.Name:
@@ -143,19 +181,12 @@
 	case now-m.LastBeat < report && !m.Suspect:
 		// It reports: only this question was lost.
 	default:
-		m.Mute++
-		giveUp = m.Mute >= muteAfter && !m.Returning && g.hasReplica(m)
-		if giveUp {
-			m.Returning = true
-			g.touched[m] = true
-			g.log.Info("machine is silent and holds replicas: returning it", "host", m.Name)
+		if m.Mute++; m.Mute >= muteAfter {
+			g.mute[m] = true
 		}
 	}
 	g.mu.Unlock()
 	g.wake()
-	if giveUp {
-		g.giveBack(ctx, []string{m.Name})
-	}
 }
 
 // cutReports is how many report intervals without any beat make a leader
--- a/sizing.go
+++ b/sizing.go
@@ -17,6 +17,7 @@
 type sample struct {
 	at   clock.Micros
 	work cloud.Load
+	old  bool // was there when the first leader began
 }
 
 // peak is what was needed at one moment.
@@ -243,7 +244,8 @@
 			j.counted = true
 			var l cloud.Load
 			add(&l, run*float64(len(j.pieces)))
-			g.arrivals = append(g.arrivals, sample{at: now, work: l})
+			first := g.seeded == (cloud.Load{}) && now-g.r.Since < firstLook
+			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first})
 		}
 		drain, patient := g.drains(j, run)
 		left := (float64(waiting) + float64(running)/2) * run
@@ -258,10 +260,17 @@
 	var rate cloud.Load
 	var square float64
 	recent := 0
+	age := (now - g.r.Since).Seconds()
 	for _, a := range g.arrivals {
-		rate.Cores += a.work.Cores
-		rate.RAM += a.work.RAM
-		rate.Accel += a.work.Accel
+		weight := 1.0
+		if a.old {
+			// What a first leader finds says how much work there is at a time, not how
+			// much comes: it stands in for what came before, less and less.
+			weight = max(0, 1-age/window.Seconds())
+		}
+		rate.Cores += a.work.Cores * weight
+		rate.RAM += a.work.RAM * weight
+		rate.Accel += a.work.Accel * weight
 		square += a.work.Cores * a.work.Cores
 		if now-a.at <= recently {
 			recent++
@@ -271,8 +280,8 @@
 	fade := g.fading(recent, now, window)
 	span := window.Seconds()
 	if g.seeded == (cloud.Load{}) {
-		span = min(span, max(span/2, (now-g.r.Since).Seconds()))
-	} else if age := (now - g.r.Since).Seconds(); age < span {
+		span = min(span, span/2+age)
+	} else if age < span {
 		// The predecessor's rate stands for the part of the window before this reign.
 		rate.Cores += g.seeded.Cores * (span - age)
 		rate.RAM += g.seeded.RAM * (span - age)
@@ -307,8 +316,9 @@
 	}
 	for _, p := range g.peaks {
 		if now-p.at <= clock.FromSeconds(f.HoldS) {
-			need.Hold = max(need.Hold, p.cores)
-			need.HoldPressing = max(need.HoldPressing, p.pressing)
+			// What is held for more work to come goes with the signs that it will.
+			need.Hold = max(need.Hold, p.cores*fade)
+			need.HoldPressing = max(need.HoldPressing, p.pressing*fade)
 		}
 		if now-p.at <= clock.FromSeconds(f.HoldOrdinaryS) {
 			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
@@ -328,16 +338,21 @@
 	return need
 }
 
+// firstLook is how long after a first leader's start jobs count as found there.
+const firstLook = 6 * clock.Second
+
 // recently is the span in which a rate of arrivals that has fallen shows first.
 const recently = 30 * clock.Second
 
-// spread is the headroom that the work arriving in a window calls for: its own
-// standard error, as a share. Many small jobs vary less in sum than a few large.
+// spread is the headroom that the work arriving in a window calls for, as a
+// share of it: many small jobs vary less in sum than a few large. It goes with
+// the square of the sum's standard error, since a large fleet also works off
+// what comes above the mean sooner: more machines fall free at any time.
 func spread(sum, square, most float64) float64 {
 	if sum <= 0 {
 		return most
 	}
-	return min(most, math.Sqrt(square)/sum)
+	return min(most, 2.5*square/(sum*sum))
 }
 
 // fading is the share of the rate seen over the window that the last short
@@ -390,6 +405,7 @@
 	var held []cloud.Held
 	var giveUp []string
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -410,8 +426,11 @@
 		if m.IdleFrom > 0 {
 			h.Idle = now - m.IdleFrom
 		}
-		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Beaten && now-m.LastBeat > 8*clock.Second ||
-			!m.Beaten && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent
+		// What was up and has been silent for two reports is replaced at once: a
+		// machine takes longer to boot than a lease to run out.
+		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Beaten && (m.Hushed || m.Suspect) ||
+			!m.Beaten && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
+			g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report+2*clock.Second
 		held = append(held, h)
 		ready := 60.0
 		if b, ok := g.fl.Build(m.Build); ok && b.ReadyS > 0 {
--- a/step.go
+++ b/step.go
@@ -285,7 +285,15 @@
 // works: stopping them would lose what repair is meant to protect.
 func (g *reign) candidates(p *plan.Picture) {
 	now := p.Now
-	for _, m := range g.fl.Machines() {
+	// Spreading goes slowly, so only some of the replicas that share a machine are
+	// looked at in a round, beginning elsewhere each time.
+	sharing := 4 * max(1, p.MoveCap)
+	machines := g.fl.Machines()
+	if len(machines) > 0 {
+		at := int(g.seq*97) % len(machines)
+		machines = slices.Concat(machines[at:], machines[:at])
+	}
+	for _, m := range machines {
 		m.Each(func(b *fleet.Booking) {
 			j, known := b.Tag.(*job)
 			if !b.Live() || b.Halt || !known || j.cancelled || j.group() {
@@ -301,8 +309,9 @@
 				reason = plan.ReasonBan
 			case m.Cordoned && j.standing() && now-b.Since > settled:
 				reason = plan.ReasonDrain
-			case j.standing() && j.pj.Machines[m.Name] > 1:
+			case j.standing() && j.pj.Machines[m.Name] > 1 && sharing > 0:
 				reason = plan.ReasonSpread
+				sharing--
 			default:
 				return
 			}
@@ -793,8 +802,8 @@
 		g.fl.Obeyed(m)
 		news, _ := g.fl.Report(now, rep, false)
 		g.news(news, now)
-	case err != nil && ctx.Err() == nil && now-m.LastBeat < clock.FromSeconds(2*g.cfg.Facts.Workers.ReportS):
-		g.fl.Unheard(m)
+	case err != nil && ctx.Err() == nil:
+		g.fl.Missed(m)
 	}
 	g.mu.Unlock()
 	g.wake()
