Room for a zone's replicas where it is cheap; urgent tasks fetch on fast machines

Without the image, urgent tasks go where it comes soonest, and nobody makes way if that is within the stated aim.

--- a/cloud/size.go
+++ b/cloud/size.go
@@ -41,6 +41,7 @@
 	HoldPressing       float64 // the same for what presses
 	Keep               bool    // nothing is given up yet: too little is known of the demand
 	Reserve            float64 // share of Ordinary kept free
+	ReserveZone        float64 // share of all that is needed up to which room for the fullest zone's tasks is kept
 	ReserveMachine     float64 // share of Ordinary up to which room for the fullest machine's tasks is kept
 	Growth             float64 // cores that Ordinary is about to grow by
 	Apart              bool    // there are replicas to keep in more than one zone
@@ -98,6 +99,18 @@
 			spareFor = max(spareFor, min(h.Firm, need.ReserveMachine*need.Ordinary.Cores))
 		}
 	}
+	// So may a whole zone, where room for it is little beside the whole fleet. The
+	// room is not idle: loaned work fills it and gives way.
+	zones, firm := map[string]float64{}, 0.0
+	for _, h := range held {
+		if !h.Loaned {
+			zones[h.Yard] += h.Firm
+			firm = max(firm, zones[h.Yard])
+		}
+	}
+	if need.Apart {
+		spareFor = max(spareFor, min(firm, need.ReserveZone*(need.Ordinary.Cores+need.Loaned.Cores)))
+	}
 	ordWant := need.Ordinary.Cores + spareFor + need.Growth
 	var ordHave, spotHave float64
 	zoneHave := map[string]float64{}
@@ -131,16 +144,21 @@
 	room := roomByZone(held, byName, need)
 	missing := uncordon(false, ordWant-ordHave, need.Ordinary)
 	if missing > 0 {
-		total += rent(&v, builds, need.Ordinary, missing, false, zoneHave, need.Apart, refused, need.Machines-total)
+		near := alike
+		if need.Ordinary.Cores > ordHave {
+			near = pressed // replicas wait for it
+		}
+		total += rent(&v, builds, need.Ordinary, missing, near, false, zoneHave, need.Apart, refused, need.Machines-total)
 	} else if zone := tight(room, need); zone != "" {
 		// Enough in sum, but not where replicas kept apart could go.
 		only := func(b, y string, l bool) bool { return y != zone || refused(b, y, l) }
-		total += rent(&v, builds, need.Ordinary, 1, false, zoneHave, false, only, min(1, need.Machines-total))
+		total += rent(&v, builds, need.Ordinary, 1, alike, false, zoneHave, false, only, min(1, need.Machines-total))
 	}
-	spare := max(0, ordHave-ordWant)
+	// Loaned work fills what is kept free for replicas, and gives way to them.
+	spare := max(0, ordHave-need.Ordinary.Cores)
 	missing = uncordon(true, need.Loaned.Cores-spotHave-spare, need.Loaned)
 	if missing > 0 {
-		total += rent(&v, builds, need.Loaned, missing, true, map[string]float64{}, false, refused, need.Machines-total)
+		total += rent(&v, builds, need.Loaned, missing, alike, true, map[string]float64{}, false, refused, need.Machines-total)
 	}
 	var coming float64
 	for _, w := range v.Rent {
@@ -150,7 +168,7 @@
 	}
 	if missing = need.Pressing.Cores - spotHave - spare - coming; missing > 0 {
 		missing = uncordon(false, missing, need.Loaned)
-		rent(&v, builds, need.Loaned, missing, false, zoneHave, false, refused, need.Machines-total)
+		rent(&v, builds, need.Loaned, missing, alike, false, zoneHave, false, refused, need.Machines-total)
 	}
 	taken := map[string]bool{}
 	for _, name := range v.Uncordon {
@@ -283,12 +301,15 @@
 // emptied is the share of the ordinary machines that may be emptied at once.
 const emptied = 0.04
 
-// alike is how much more an offer may cost and still be taken for its sooner boot.
-const alike = 0.05
+// How much more an offer may cost and still be taken for its sooner boot.
+const (
+	alike   = 0.05
+	pressed = 0.3 // the same while replicas wait for room
+)
 
 // rent fills a shortage with the machines that cost least per core of the
 // load, all of one kind, and gives how many it asked for.
-func rent(v *Verdict, builds []wire.Build, load Load, missing float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
+func rent(v *Verdict, builds []wire.Build, load Load, missing, near float64, loaned bool, zoneHave map[string]float64, apart bool, refused Refused, most int) int {
 	type offer struct {
 		b      wire.Build
 		yard   string
@@ -318,7 +339,7 @@
 		least = min(least, o.price)
 	}
 	for i := range offers {
-		offers[i].class = int((offers[i].price/least - 1) / alike)
+		offers[i].class = int((offers[i].price/least - 1) / near)
 	}
 	asked := 0
 	for missing > 0.5 && asked < most && len(offers) > 0 {
--- a/cloud/size_test.go
+++ b/cloud/size_test.go
@@ -128,3 +128,63 @@
 		t.Errorf("rents %v beyond the limit", v.Rent)
 	}
 }
+
+// Room for the fullest zone's replicas is kept where it is little beside the
+// whole fleet, and no more than that share where it is not.
+func TestRoomForAZone(t *testing.T) {
+	big := wire.Build{SKU: "g", Cores: 32, RAM: 128, Hourly: 2, Spot: 0.7, ReadyS: 30, Yards: []string{"x", "y", "z"}}
+	var held []Held
+	for i := range 9 {
+		held = append(held, Held{Name: string(rune('a' + i)), Build: "g", Yard: []string{"x", "y", "z"}[i%3], Up: true, Live: 20, Standing: 20, Firm: 30})
+	}
+	rented := func(loaned float64) (n int) {
+		need := Need{Ordinary: Load{Cores: 270, RAM: 500}, Loaned: Load{Cores: loaned, RAM: loaned}, ReserveZone: 0.05, Apart: true, Machines: 1000}
+		for _, w := range Size([]wire.Build{big}, held, need, func(string, string, bool) bool { return false }).Rent {
+			if !w.Loaned {
+				n += w.Count
+			}
+		}
+		return n
+	}
+	// 288 cores are held, 270 needed; a zone's replicas take 90.
+	if n := rented(10000); n != 3 {
+		t.Errorf("%d machines rented, want the 3 that a zone's 90 cores take", n)
+	}
+	if n := rented(0); n != 0 {
+		t.Errorf("%d machines rented where the room is a large share of the fleet", n)
+	}
+}
+
+// Loaned work counts on the room that is kept for replicas.
+func TestLoanedWorkFillsTheReserve(t *testing.T) {
+	b := wire.Build{SKU: "g", Cores: 32, RAM: 128, Hourly: 2, Spot: 0.7, ReadyS: 30, Yards: []string{"x"}}
+	held := []Held{{Name: "a", Build: "g", Yard: "x", Up: true}, {Name: "b", Build: "g", Yard: "x", Up: true}}
+	need := Need{Ordinary: Load{Cores: 30, RAM: 60}, Loaned: Load{Cores: 30, RAM: 60}, Reserve: 1, Machines: 10}
+	if v := Size([]wire.Build{b}, held, need, func(string, string, bool) bool { return false }); len(v.Rent) != 0 {
+		t.Errorf("rented %v though the reserve has room", v.Rent)
+	}
+}
+
+// While replicas wait for room, a sooner boot is worth a higher price.
+func TestSoonestBootWhileReplicasWait(t *testing.T) {
+	slow := wire.Build{SKU: "s", Cores: 16, RAM: 64, Hourly: 0.92, ReadyS: 50, Yards: []string{"x"}}
+	fast := wire.Build{SKU: "f", Cores: 16, RAM: 64, Hourly: 1.1, ReadyS: 15, Yards: []string{"x"}}
+	rent := func(have float64) string {
+		held := []Held{}
+		for have > 0 {
+			held = append(held, Held{Name: string(rune('a' + len(held))), Build: "s", Yard: "x", Up: true})
+			have -= 16
+		}
+		v := Size([]wire.Build{slow, fast}, held, Need{Ordinary: Load{Cores: 64, RAM: 200}, Reserve: 0.5, Machines: 50}, func(string, string, bool) bool { return false })
+		if len(v.Rent) == 0 {
+			return ""
+		}
+		return v.Rent[0].Build
+	}
+	if got := rent(32); got != "f" {
+		t.Errorf("rented %q while replicas wait", got)
+	}
+	if got := rent(64); got != "s" {
+		t.Errorf("rented %q for the reserve", got)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -210,6 +210,7 @@
 		Headroom       float64 `json:"headroom"`
 		ReserveOD      float64 `json:"reserve_ordinary"`
 		ReserveMachine float64 `json:"reserve_machine"`
+		ReserveZone    float64 `json:"reserve_zone"`
 		QueueS         float64 `json:"queue_s"`
 		UrgentS        float64 `json:"urgent_s"`
 		HoldS          float64 `json:"hold_s"`
--- a/engine.go
+++ b/engine.go
@@ -417,7 +417,13 @@
 // planJob is the job as the planner sees it; its counts follow the bookings.
 func (g *reign) planJob(j *job) *plan.Job {
 	s := &j.spec
-	return &plan.Job{UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
+	within := 0.0
+	for _, o := range g.cfg.Facts.Objectives {
+		if o.Kind == "wait" && o.Class == s.Lane && (within == 0 || o.WithinS < within) {
+			within = o.WithinS
+		}
+	}
+	return &plan.Job{ImageGB: s.ImageGB, Within: clock.FromSeconds(within), UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
 		Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Yard: s.Yard, SamePlace: s.SamePlace,
 		Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Group: j.group(), Slack: noSlack,
 		Zones: map[string]int{}, Machines: map[string]int{}}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -41,6 +41,7 @@
 	Images                        map[string]Image
 	Lower                         []Victim // tasks that may be preempted, cheapest first
 	Held                          string   // the job that its room is kept for, if any
+	Fetch                         float64  // GB of images a second
 
 	leaving int
 	at      place
@@ -85,6 +86,8 @@
 	Left              int          // tasks not done yet
 	Aged              bool         // has waited long without any task begun
 	Hold              string       // the machine whose room is kept for it, if any
+	ImageGB           float64
+	Within            clock.Micros // in which its tasks should start; zero when nothing is said
 
 	Zones    map[string]int // tasks that may exist, by zone
 	Machines map[string]int // the same by machine
@@ -259,7 +262,7 @@
 	j := w.Job
 	for n, index := range w.Indexes {
 		m := pl.target(j, "", nil)
-		if last && m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && pl.makeRoom(j, true) {
+		if last && m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
 			// Only cold machines have room: waiting for an image costs an urgent task
 			// more than a little lost work costs the one that makes way.
 			pl.out.Unplaced[j.UID]++
@@ -285,6 +288,16 @@
 	return placed
 }
 
+// soonEnough tells whether a task would start in time on a machine that has yet
+// to fetch its image: then no other need make way. Fetches vary by a third, and
+// share what a machine fetches at a time.
+func soonEnough(j *Job, m *Machine) bool {
+	if j.Within == 0 || m.Fetch <= 0 {
+		return false
+	}
+	return clock.FromSeconds(1.5*j.ImageGB/m.Fetch) < j.Within
+}
+
 // hold keeps a machine's room for a job for which none has enough: smaller
 // tasks would take each bit that comes free before it is enough for a large
 // one. The machine that lacks least is taken, or the one held already.
@@ -526,6 +539,9 @@
 	if x, y := a.Images[j.Bundle], b.Images[j.Bundle]; x != y {
 		return x > y
 	}
+	if a.Fetch != b.Fetch && j.Rank >= wire.RankHigh && a.Images[j.Bundle] == ImageAbsent {
+		return a.Fetch > b.Fetch // where an urgent task has to wait for its image
+	}
 	if x, y := j.Zones[a.Yard], j.Zones[b.Yard]; j.Standing && x != y {
 		return x < y
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"cedardoor/clock"
 	"cedardoor/wire"
 
 	"github.com/google/go-cmp/cmp"
@@ -48,6 +49,48 @@
 	}
 }
 
+// Where an urgent task has to fetch its image, the machine that fetches faster
+// goes before the one with more memory.
+func TestUrgentTasksFetchFast(t *testing.T) {
+	a, b := machine("a", "x", 8, 10), machine("b", "x", 8, 30)
+	a.Fetch, b.Fetch = 0.5, 0.3
+	j := newJob("j-1", 1, 1, 2)
+	j.Bundle = "img"
+	place := func() string {
+		got := Make(&Picture{Machines: []*Machine{a, b}, Waiting: []Waiting{{Job: j, Indexes: indexes(1)}}}).Launch
+		if len(got) != 1 {
+			t.Fatalf("launched %v", got)
+		}
+		return got[0].Machine
+	}
+	if m := place(); m != "b" {
+		t.Errorf("ordinary work on %s, want worst fit", m)
+	}
+	j.Rank = wire.RankHigh
+	if m := place(); m != "a" {
+		t.Errorf("urgent work on %s, want the faster fetch", m)
+	}
+}
+
+// Nobody makes way for an urgent task whose image is fetched in time anyway.
+func TestNoPreemptionWhereTheFetchIsSoonEnough(t *testing.T) {
+	for _, tt := range []struct {
+		fetch float64
+		want  int
+	}{{0.5, 0}, {0.1, 1}} {
+		cold, warm := machine("cold", "x", 8, 32), machine("warm", "x", 0, 0)
+		cold.Fetch = tt.fetch
+		warm.Images["img"] = ImageHeld
+		warm.Lower = []Victim{{Task: TaskID{"j-9", 0}, Rank: wire.RankLow, Cores: 8, RAM: 16}}
+		j := newJob("j-1", 1, 4, 8)
+		j.Rank, j.Bundle, j.ImageGB, j.Within = wire.RankHigh, "img", 1, 5*clock.Second
+		res := Make(&Picture{Machines: []*Machine{cold, warm}, Preempt: true, Waiting: []Waiting{{Job: j, Indexes: indexes(1)}}})
+		if len(res.Preempt) != tt.want {
+			t.Errorf("at %v GB a second: preempted %v, want %d", tt.fetch, res.Preempt, tt.want)
+		}
+	}
+}
+
 func TestLaunchOrder(t *testing.T) {
 	low, high, due := newJob("j-1", 1, 8, 1), newJob("j-2", 1, 8, 1), newJob("j-3", 1, 8, 1)
 	low.Slack, high.Slack, due.Slack = 100, 100, 5
--- a/sizing.go
+++ b/sizing.go
@@ -211,7 +211,7 @@
 // the burst is over. The queue adds to that only what it needs to drain in time.
 func (g *reign) demand(now clock.Micros) cloud.Need {
 	f := &g.op.Fleet
-	need := cloud.Need{Reserve: f.ReserveOD, ReserveMachine: f.ReserveMachine, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
+	need := cloud.Need{Reserve: f.ReserveOD, ReserveMachine: f.ReserveMachine, ReserveZone: f.ReserveZone, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
 	var work, all, pressing cloud.Load
 	for _, j := range g.jobs {
 		if j.cancelled {
--- a/step.go
+++ b/step.go
@@ -149,6 +149,9 @@
 	c, a, r := m.Free()
 	pm.Build, pm.Yard, pm.Loaned, pm.Cores, pm.Accel, pm.RAM = m.Build, m.Yard, m.Loaned, c, a, r
 	pm.Usable, pm.Banned, pm.Cordoned, pm.Held = g.usable(m, now), m.Banned, m.Cordoned, g.holds[m.Name]
+	if b, known := g.fl.Build(m.Build); known {
+		pm.Fetch = b.FetchGBs
+	}
 	for b := range pm.Images {
 		if _, still := m.Images[b]; !still {
 			delete(pm.Images, b)
