Nothing is rented in a zone that is cut off; users' changes go before the leader's records

On the leader, users' changes queued behind bulk records. Change: a zone nearly all of whose machines are silent gets no rentals, unless all are. Users' changes on the leader take their share of the budget without waiting. Ruled out: half of a zone's machines as the sign (a wave of spot machines taken back looks so).

--- a/api/api.go
+++ b/api/api.go
@@ -312,7 +312,7 @@
 // much to do at once.
 func (u *Users) commit(ctx context.Context, txn wire.Txn) error {
 	for try := 0; ; try++ {
-		_, err := u.Store.Commit(ctx, store.Urgent, txn)
+		_, err := u.Store.Commit(ctx, store.Prompt, txn)
 		if err == nil || !errors.Is(err, store.ErrBusy) || try >= 4 {
 			return err
 		}
--- a/api/view_test.go
+++ b/api/view_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
-	"time"
 
 	"cedardoor/clock"
 	"cedardoor/config"
@@ -44,12 +44,12 @@
 		}
 		go poll()
 		for state.Requests() == before { // its read is under way
-			time.Sleep(0)
+			runtime.Gosched()
 		}
 		for range polls - 1 {
 			go poll()
 		}
-		for waiting := 0; waiting < polls-1; time.Sleep(0) {
+		for waiting := 0; waiting < polls-1; runtime.Gosched() {
 			v.mu.Lock()
 			if v.next != nil {
 				waiting = len(v.next.uids)
--- a/engine.go
+++ b/engine.go
@@ -239,6 +239,7 @@
 // those may go on under the predecessor's last answers, so each keeps its
 // bookings until it reports or its lease must have run out.
 func (g *reign) load(ctx context.Context) (epoch uint64, err error) {
+	began := g.ck.Now()
 	jobs, epoch, err := g.st.List(ctx, store.Urgent, store.PrefixJob)
 	if err != nil {
 		return 0, err
@@ -375,7 +376,7 @@
 		}
 	}
 	g.loaded = true
-	g.log.Info("records loaded", "jobs", len(jobs), "chunks", len(chunks), "epoch", epoch)
+	g.log.Info("records loaded", "jobs", len(jobs), "chunks", len(chunks), "epoch", epoch, "took_s", (g.ck.Now() - began).Seconds())
 	return epoch, nil
 }
 
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -23,6 +23,7 @@
 	state *standin.State
 	el    *Elector
 	all   atomic.Bool
+	slow  atomic.Bool // attestations take longer than they are good for
 	asked atomic.Int32
 	reign chan Reign
 	ended chan struct{}
@@ -38,7 +39,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.el = New("a", st, clock.New(clk), op, func(context.Context) bool { b.asked.Add(1); return b.all.Load() }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	b.el = New("a", st, clock.New(clk), op, func(context.Context) bool {
+		b.asked.Add(1)
+		if b.slow.Load() {
+			clk.Advance(2 * AttestSpan.Duration())
+		}
+		return b.all.Load()
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -122,3 +129,16 @@
 		t.Errorf("recorded %d, want %d", rec.Warrant, got)
 	}
 }
+
+// An attestation that takes long is counted from when it was asked for: when it
+// comes, the time that it was good for is over.
+func TestLateAttestationIsVoid(t *testing.T) {
+	b := start(t)
+	b.slow.Store(true)
+	b.all.Store(true)
+	b.state.Refuse("", true)
+	b.step(t, 6*time.Second)
+	if _, ok := b.el.MayAnswer(); ok {
+		t.Error("answers beats on an attestation that was asked for longer ago than it holds")
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -196,7 +197,7 @@
 	}
 	g.step(t.Context())
 	for s.state.Value(store.KeyLead, nil) {
-		time.Sleep(0)
+		runtime.Gosched()
 	}
 	if len(s.cloud.Asked()) != 0 && len(s.cloud.Hosts()) == 0 {
 		t.Error("machines were returned for the leader's own fault")
@@ -316,7 +317,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { // until it is killed, it goes on trying
 		for s.state.Late() == 0 {
-			time.Sleep(0)
+			runtime.Gosched()
 		}
 		cancel()
 	}()
@@ -388,7 +389,7 @@
 	defer cancel()
 	go b.el.Run(ctx, b.lead)
 	for b.Leader() != a.cfg.Node {
-		time.Sleep(0)
+		runtime.Gosched()
 	}
 	defer s.state.Stall()() // from here on the store says nothing at all
 	s.clk.Advance(6 * time.Second)
@@ -487,7 +488,7 @@
 	g, _ := s.elect(n)
 	s.silence(g, n, []string{"y", "y"}, 12)
 	for len(s.cloud.Returns()) == 0 {
-		time.Sleep(0)
+		runtime.Gosched()
 	}
 	if got := s.cloud.Returns(); len(got) != 1 || !cmp.Equal(got[0], []string{"n-10", "n-11"}) {
 		t.Errorf("returned %v", got)
@@ -511,3 +512,53 @@
 		t.Errorf("%d machines mute, want 3", muted)
 	}
 }
+
+// What is written follows the records touched, not the tasks: results wait for
+// each other, and placements of a job go in one change.
+func TestPutsFollowRecords(t *testing.T) {
+	puts := func(tasks int) (placed, ended int) {
+		s, n, g, w := alone(t)
+		s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = tasks, 0.05, 0.1 }))
+		s.resync(g)
+		before := s.state.Puts()
+		s.settle(g)
+		placed = s.state.Puts() - before
+		if len(w.Live()) != tasks {
+			t.Fatalf("%d of %d tasks run", len(w.Live()), tasks)
+		}
+		before = s.state.Puts()
+		for i := range tasks - 1 {
+			w.End(fmt.Sprintf("j-1/%d", i), wire.CauseDone)
+			beat(t, g, w)
+			s.settle(g)
+		}
+		s.advance(3 * time.Second)
+		beat(t, g, w)
+		s.settle(g)
+		return placed, s.state.Puts() - before
+	}
+	fewPlaced, fewEnded := puts(6)
+	manyPlaced, manyEnded := puts(110)
+	if fewPlaced != manyPlaced || fewEnded != manyEnded {
+		t.Errorf("6 tasks take %d and %d changes, 110 take %d and %d", fewPlaced, fewEnded, manyPlaced, manyEnded)
+	}
+}
+
+// Nothing is rented in a zone of whose machines nearly all are silent, and
+// when all zones are, the fault is the controller's own.
+func TestNothingIsRentedInACutZone(t *testing.T) {
+	tests := []struct {
+		quiet, known map[string]int
+		want         map[string]bool
+	}{
+		{map[string]int{"x": 9}, map[string]int{"x": 10, "y": 10}, map[string]bool{"x": true}},
+		{map[string]int{"x": 2}, map[string]int{"x": 2, "y": 10}, map[string]bool{}},
+		{map[string]int{"x": 7}, map[string]int{"x": 10, "y": 10}, map[string]bool{}},
+		{map[string]int{"x": 9, "y": 9}, map[string]int{"x": 10, "y": 10}, nil},
+	}
+	for _, tt := range tests {
+		if got := cutZones(tt.quiet, tt.known); !cmp.Equal(got, tt.want) {
+			t.Errorf("silent %v of %v: avoided %v, want %v", tt.quiet, tt.known, got, tt.want)
+		}
+	}
+}
--- a/silent.go
+++ b/silent.go
@@ -83,7 +83,7 @@
 }
 
 // returnMute returns the machines that gave no answer, in one request. Those of
-// a zone that is silent for the most part are left alone: it is cut off, its
+// a zone that is silent as a whole are left alone: it is cut off, its
 // replicas run on until their leases end, and new machines take longer to boot
 // than that. The caller holds mu.
 func (g *reign) returnMute(ctx context.Context, silent []*fleet.Machine) {
@@ -99,12 +99,13 @@
 			all[m.Yard]++
 		}
 	})
+	cut := cutZones(quiet, all)
 	var names []string
 	for m := range g.mute {
 		switch {
 		case g.fl.Machine(m.Name) != m || m.Returning || m.Mute < muteAfter || !g.hasReplica(m):
 			delete(g.mute, m)
-		case quiet[m.Yard] >= 3 && 2*quiet[m.Yard] > all[m.Yard] && m.Beaten:
+		case cut[m.Yard] && m.Beaten:
 		case len(names) < wire.MaxReturn:
 			m.Returning = true
 			g.touched[m] = true
--- a/sizing.go
+++ b/sizing.go
@@ -406,6 +406,7 @@
 	var giveUp []string
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
+	quiet, known := map[string]int{}, map[string]int{}
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -432,6 +433,12 @@
 			!m.Beaten && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
 			g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report+2*clock.Second
 		held = append(held, h)
+		if g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report || m.Beaten && (m.Hushed || m.Suspect) {
+			quiet[m.Yard]++
+			known[m.Yard]++
+		} else if m.Beaten {
+			known[m.Yard]++
+		}
 		ready := 60.0
 		if b, ok := g.fl.Build(m.Build); ok && b.ReadyS > 0 {
 			ready = b.ReadyS
@@ -462,7 +469,11 @@
 			delete(g.refused, key)
 		}
 	}
+	cut := cutZones(quiet, known)
 	refused := func(build, yard string, loaned bool) bool {
+		if cut[yard] {
+			return true
+		}
 		_, no := g.refused[refusedKey(build, yard, loaned)]
 		return no
 	}
@@ -506,6 +517,22 @@
 	}
 }
 
+// cutZones names the zones nearly all of whose machines are silent: nothing is
+// rented where it could not be reached. A wave of spot machines taken back
+// leaves others. When all zones are silent, the fault is this controller's.
+func cutZones(quiet, known map[string]int) map[string]bool {
+	cut := map[string]bool{}
+	for zone, n := range quiet {
+		if n >= 3 && 5*n > 4*known[zone] {
+			cut[zone] = true
+		}
+	}
+	if len(cut) == len(known) {
+		return nil
+	}
+	return cut
+}
+
 func refusedKey(build, yard string, loaned bool) string {
 	return fmt.Sprintf("%s/%s/%t", build, yard, loaned)
 }
--- a/store/client.go
+++ b/store/client.go
@@ -44,10 +44,13 @@
 // Priority orders requests when the budget is short.
 type Priority int
 
-// The priorities: Vital requests (leadership) are never held back.
+// The priorities: Normal requests fail at once over the budget, Urgent ones wait
+// for it. Prompt ones, users' submissions and aborts, do not wait behind the
+// leader's records. Vital requests (leadership) are never held back.
 const (
 	Normal Priority = iota
 	Urgent
+	Prompt
 	Vital
 )
 
@@ -65,6 +68,7 @@
 	nodes    int
 	timeout  time.Duration
 	retry    *rate.Limiter
+	leads    atomic.Bool
 	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
 
@@ -98,6 +102,7 @@
 
 // Lead sets this node's share of the service's limits.
 func (c *Client) Lead(leads bool) {
+	c.leads.Store(leads)
 	r, w := c.limits.RPS*otherRequests, c.limits.WriteRPS*otherWrites
 	if leads {
 		r, w = c.limits.RPS*leadRequests, c.limits.WriteRPS*leadWrites
@@ -119,8 +124,8 @@
 }
 
 func (c *Client) admit(ctx context.Context, prio Priority, puts int) error {
-	if prio == Vital {
-		// Leadership is never starved: it takes its tokens without waiting for them.
+	if prio == Vital || prio == Prompt && c.leads.Load() {
+		// These take their tokens without waiting for them.
 		c.requests.Allow()
 		c.writes.AllowN(time.Now(), puts)
 		return nil
