--- a/sizing.go
+++ b/sizing.go
@@ -324,6 +324,12 @@
 			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
 		}
 	}
+	// A machine that is emptied while replicas come on the whole is rented again
+	// soon, cold: what the last while added is expected once more.
+	if known := now - g.peaks[0].at; known >= trendFrom && need.Ordinary.Cores > g.peaks[0].firm {
+		grown := (need.Ordinary.Cores - g.peaks[0].firm) * f.HoldOrdinaryS / known.Seconds()
+		need.HoldOrdinary = max(need.HoldOrdinary, (need.Ordinary.Cores+grown)*(1+need.Reserve))
+	}
 	// With no work at all for a while, nothing is held for what might come.
 	if need.Ordinary.Cores > 0 || all.Cores > 0 {
 		g.idleFrom = 0
@@ -338,6 +344,9 @@
 	return need
 }
 
+// trendFrom is how much must be known of ordinary demand to tell its trend.
+const trendFrom = 60 * clock.Second
+
 // firstLook is how long after a first leader's start jobs count as found there.
 const firstLook = 6 * clock.Second
 
