--- a/cloud/size.go
+++ b/cloud/size.go
@@ -299,7 +299,7 @@
 }
 
 // emptied is the share of the ordinary machines that may be emptied at once.
-const emptied = 0.04
+const emptied = 0.08
 
 // How much more an offer may cost and still be taken for its sooner boot.
 const (
--- a/config/config.go
+++ b/config/config.go
@@ -197,6 +197,7 @@
 	Repair struct {
 		PeriodS  float64 `json:"period_s"`
 		Restarts int     `json:"restarts"`
+		Share    float64 `json:"restarts_share"`
 	} `json:"repair"`
 	Lead struct {
 		TTLs   float64 `json:"ttl_s"`
--- a/engine.go
+++ b/engine.go
@@ -129,6 +129,7 @@
 	triedAt  clock.Micros    // the last plan
 	entitled clock.Micros
 	probes   int
+	replicas int                     // that may be anywhere
 	probed   map[string]clock.Micros // machines asked because of an old report, and when
 	deaf     int                     // machines banned as deaf
 	mute     map[*fleet.Machine]bool // silent machines that answered no question
@@ -185,6 +186,9 @@
 		return
 	}
 	j.pj.Count(yard, b.Machine.Name, sign)
+	if j.standing() {
+		g.replicas += sign
+	}
 	if q := g.pic.Team[j.spec.Owner]; q != nil {
 		q.Cores += float64(sign) * b.Cores
 		q.Accel += float64(sign) * b.Accel
--- a/step.go
+++ b/step.go
@@ -211,6 +211,7 @@
 	p := g.pic
 	g.seq++
 	p.Seed, p.Now = g.seq, now
+	p.MoveCap = max(g.op.Repair.Restarts, int(float64(g.replicas)*g.op.Repair.Share))
 	p.Waiting, p.Candidates = p.Waiting[:0], p.Candidates[:0]
 	g.entitle(now)
 	wall := g.ck.Wall()
