--- a/cloud/size.go
+++ b/cloud/size.go
@@ -21,9 +21,7 @@
 	Standing  int     // of those, replicas
 	Firm      float64 // cores of tasks that only ordinary machines may hold
 	UsedCores float64
-	UsedRAM   float64
 	Idle      clock.Micros // for how long nothing has been on it
-	Age       clock.Micros
 }
 
 // Load is an amount of work to hold at once.
@@ -46,7 +44,6 @@
 	Growth             float64 // cores that Ordinary is about to grow by
 	Apart              bool    // there are replicas to keep in more than one zone
 	MaxCores           float64
-	MaxRAM             float64
 	Idle               clock.Micros
 	Machines           int
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -64,7 +64,6 @@
 	Leeway   float64
 	Ended    bool // has exited; takes no room any more
 	Cause    string
-	Kept     bool
 	Settled  bool // the result is durable: the worker may forget
 
 	doubt     uint64 // highest warrant of a /do run without a definite answer
@@ -107,7 +106,6 @@
 	Listed    string       // status in the cloud's list; empty when not listed
 	ListedAt  clock.Micros
 	FirstSeen clock.Micros
-	BootedAt  clock.Micros // first beat
 	IdleFrom  clock.Micros // since when nothing is booked; zero when something is
 	Returning bool         // a return was asked for
 	Banned    string       // why repair must empty it; empty when not banned
@@ -519,7 +517,7 @@
 		}
 		if p.Status == wire.PieceEnded && !b.Ended {
 			f.release(b, now)
-			b.Cause, b.Kept = p.Cause, p.Kept
+			b.Cause = p.Cause
 			news = append(news, News{Booking: b})
 		}
 	}
@@ -606,9 +604,6 @@
 		m.Beaten = true
 		f.touch(m)
 	}
-	if m.BootedAt == 0 {
-		m.BootedAt = now
-	}
 	m.Mute = 0
 	if m.Hushed {
 		m.Hushed = false
@@ -747,9 +742,6 @@
 	m.told = warrant
 }
 
-// Steady tells whether the machine's last report asks for no orders at all.
-func (m *Machine) Steady() bool { return m.steady }
-
 // Orders lists what a worker should be told. For a beat, the runs in it are
 // noted as carried by the answer to the beat of this tally.
 func (f *Fleet) Orders(m *Machine, now clock.Micros, viaBeat, mayRun bool) []wire.Order {
--- /dev/null
+++ b/picture.go
@@ -0,0 +1,243 @@
+package cedardoor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"cedardoor/clock"
+	"cedardoor/fleet"
+	"cedardoor/plan"
+)
+
+// usable tells whether a machine may be given tasks.
+func (g *reign) usable(m *fleet.Machine, now clock.Micros) bool {
+	return m.Beaten && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0
+}
+
+// judge bans a machine that has a notice, is slow or does not hear, and lifts
+// the ban when its reason ends. The caller holds mu.
+func (g *reign) judge(m *fleet.Machine) {
+	if m.Banned == banDeaf && !m.Deaf() {
+		m.Banned = ""
+		g.deaf--
+		g.log.Info("machine hears again", "host", m.Name)
+	}
+	switch {
+	case m.WarnUntil > 0 && m.Banned == "":
+		m.Banned = "notice"
+	case m.WarnUntil == 0 && m.Banned == "notice":
+		m.Banned = ""
+	case m.Banned == "" && m.SlowN >= 3 && m.Slow > 1.6:
+		m.Banned = "slow"
+		g.log.Info("machine is slow", "host", m.Name, "factor", fmt.Sprintf("%.2f", m.Slow))
+	}
+	if m.Deaf() && m.Banned == "" {
+		m.Banned = banDeaf
+		g.deaf++
+		g.log.Info("machine is deaf: it reports, but nothing told to it takes effect", "host", m.Name)
+	}
+}
+
+// banDeaf marks machines whose reports come while nothing reaches them.
+const banDeaf = "deaf"
+
+// stopSoon is how long the room of a task that was told to stop is waited for.
+const stopSoon = 3 * clock.Second
+
+// refresh brings the picture up to date with a machine. The caller holds mu.
+func (g *reign) refresh(m *fleet.Machine, now clock.Micros) (again bool) {
+	pm := g.pic.Machine(m.Name)
+	if g.fl.Machine(m.Name) != m {
+		if m.Banned == banDeaf {
+			g.deaf--
+			m.Banned = ""
+		}
+		if g.fl.Machine(m.Name) == nil && pm != nil {
+			g.pic.Drop(m.Name)
+		}
+		delete(g.toTell, m)
+		delete(g.unheard, m)
+		return false
+	}
+	g.judge(m)
+	if pm == nil {
+		pm = &plan.Machine{Name: m.Name, Images: map[string]plan.Image{}}
+	}
+	c, a, r := m.Free()
+	pm.Build, pm.Yard, pm.Loaned, pm.Cores, pm.Accel, pm.RAM = m.Build, m.Yard, m.Loaned, c, a, r
+	pm.Usable, pm.Banned, pm.Cordoned, pm.Held = g.usable(m, now), m.Banned, m.Cordoned, g.holds[m.Name]
+	if b, known := g.fl.Build(m.Build); known {
+		pm.Fetch = b.FetchGBs
+	}
+	for b := range pm.Images {
+		if _, still := m.Images[b]; !still {
+			delete(pm.Images, b)
+		}
+	}
+	for b, whole := range m.Images {
+		pm.Images[b] = plan.ImageComing
+		if whole {
+			pm.Images[b] = plan.ImageHeld
+		}
+	}
+	pm.StopCores, pm.StopAccel, pm.StopRAM = 0, 0, 0
+	pm.Lower = pm.Lower[:0]
+	m.Each(func(b *fleet.Booking) {
+		if !b.Live() {
+			return
+		}
+		if b.Halt {
+			// One that does not obey leaves room that may be long in coming.
+			if now-b.HaltAt <= stopSoon {
+				again = true
+				pm.StopCores += b.Cores
+				pm.StopAccel += b.Accel
+				pm.StopRAM += b.RAM
+			}
+			return
+		}
+		j, ok := b.Tag.(*job)
+		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.pieces)-j.done-len(j.waiting) <= plan.AgedTasks || j.pieces[b.Piece.Index].booking != b {
+			return
+		}
+		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Job: j.pj, Rank: j.rank,
+			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running})
+	})
+	slices.SortStableFunc(pm.Lower, func(a, b plan.Victim) int {
+		// Least progress first: not begun, then begun last.
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
+	})
+	g.pic.Put(pm)
+	return again
+}
+
+func zeroLast(t clock.Micros) clock.Micros {
+	if t == 0 {
+		return 1 << 62
+	}
+	return t
+}
+
+// agedAfter is how long a job may wait with no task begun before a few of its
+// tasks go before work of higher rank.
+const agedAfter = 75 * clock.Second
+
+// picture readies the picture for a plan: it lists the tasks that wait. The
+// caller holds mu.
+func (g *reign) picture(now clock.Micros, round bool) *plan.Picture {
+	p := g.pic
+	g.seq++
+	p.Seed, p.Now = g.seq, now
+	p.MoveCap = max(g.op.Repair.Restarts, int(float64(g.replicas)*g.op.Repair.Share))
+	p.Waiting, p.Candidates = p.Waiting[:0], p.Candidates[:0]
+	g.entitle(now)
+	wall := g.ck.Wall()
+	const perPass = 400 // tasks of one job offered to one pass
+	for j := range g.queue {
+		j.prune()
+		if j.cancelled || len(j.waiting) == 0 {
+			delete(g.queue, j)
+			continue
+		}
+		idx := make([]int, 0, min(len(j.waiting), perPass))
+		lost := false
+		for _, i := range j.waiting {
+			if j.pieces[i].notBefore > now {
+				continue
+			}
+			idx = append(idx, i)
+			lost = lost || j.pieces[i].ran
+			if len(idx) >= perPass && !j.group() {
+				break
+			}
+		}
+		if len(idx) == 0 {
+			continue
+		}
+		pj := j.pj
+		pj.Started, pj.Left = j.started, len(j.pieces)-j.done
+		pj.Aged = !j.standing() && !j.started && clock.Micros(j.at)+agedAfter < wall
+		if j.spec.DueS != nil {
+			left := clock.Micros(j.at) + clock.FromSeconds(*j.spec.DueS) - wall
+			pj.Slack = max(0, left-clock.FromSeconds(j.spec.ExpectS))
+		}
+		p.Waiting = append(p.Waiting, plan.Waiting{Job: pj, Indexes: idx, Lost: lost})
+	}
+	// The planner's order has no ties, so that of the map does not matter.
+	if round {
+		g.candidates(p)
+	}
+	return p
+}
+
+// entitle marks the jobs that fit into their team's guarantee together with
+// the team's earlier ones, where there are guarantees at all, once a second.
+func (g *reign) entitle(now clock.Micros) {
+	some := false
+	for _, t := range g.teams {
+		some = some || t.CPUs > 0 || t.Accel > 0
+	}
+	if !some || now-g.entitled < clock.Second && !g.fresh {
+		return
+	}
+	g.entitled = now
+	type used struct{ cores, accel float64 }
+	sum := map[string]used{}
+	for _, j := range g.sortedJobs() {
+		t := g.teams[j.spec.Owner]
+		if j.cancelled || t.CPUs == 0 && t.Accel == 0 {
+			continue
+		}
+		u := sum[j.spec.Owner]
+		n := float64(len(j.pieces) - j.done)
+		u.cores += n * j.spec.Cores
+		u.accel += n * j.spec.Accel
+		sum[j.spec.Owner] = u
+		j.pj.Entitled = u.cores <= t.CPUs+1e-6 && u.accel <= t.Accel+1e-6
+	}
+}
+
+// settled is how long a replica is left alone after its start: a start that is
+// undone within half a minute is none to its users.
+const settled = 40 * clock.Second
+
+// candidates lists the placed tasks on offending machines or in broken rules.
+// Batch tasks that could not save are left to finish on a machine that still
+// works: stopping them would lose what repair is meant to protect.
+func (g *reign) candidates(p *plan.Picture) {
+	now := p.Now
+	// Spreading goes slowly, so only some of the replicas that share a machine are
+	// looked at in a round, beginning elsewhere each time.
+	sharing := 4 * max(1, p.MoveCap)
+	machines := g.fl.Machines()
+	if len(machines) > 0 {
+		at := int(g.seq*97) % len(machines)
+		machines = slices.Concat(machines[at:], machines[:at])
+	}
+	for _, m := range machines {
+		m.Each(func(b *fleet.Booking) {
+			j, known := b.Tag.(*job)
+			if !b.Live() || b.Halt || !known || j.cancelled || j.group() {
+				return
+			}
+			pc := &j.pieces[b.Piece.Index]
+			if pc.booking != b || pc.target != nil {
+				return
+			}
+			reason := ""
+			switch {
+			case m.Banned != "" && (j.standing() || b.Saves || m.Banned == "sick"):
+				reason = plan.ReasonBan
+			case m.Cordoned && j.standing() && now-b.Since > settled:
+				reason = plan.ReasonDrain
+			case j.standing() && j.pj.Machines[m.Name] > 1 && sharing > 0:
+				reason = plan.ReasonSpread
+				sharing--
+			default:
+				return
+			}
+			p.Candidates = append(p.Candidates, plan.Candidate{Job: j.pj, Index: b.Piece.Index, Machine: m.Name, Reason: reason})
+		})
+	}
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -310,7 +310,7 @@
 		best = nil
 	}
 	var least float64
-	list := pl.some64(pl.index.kinds(j))
+	list := pl.sampled(pl.index.kinds(j))
 	if best != nil {
 		list = nil
 	}
@@ -450,9 +450,9 @@
 	return true
 }
 
-// some64 is a sample of the given machines in a random order of neighbours: all
+// sampled is a sample of the given machines in a random order of neighbours: all
 // of them when there are not more than the sample.
-func (pl *planner) some64(list []*Machine) []*Machine {
+func (pl *planner) sampled(list []*Machine) []*Machine {
 	if pl.Sample <= 0 || len(list) <= pl.Sample {
 		return list
 	}
@@ -483,7 +483,7 @@
 		return true
 	}
 	if j.Bundle != "" {
-		for _, m := range pl.some64(pl.index.images[j.Bundle]) {
+		for _, m := range pl.sampled(pl.index.images[j.Bundle]) {
 			consider(m)
 		}
 	}
@@ -673,7 +673,7 @@
 		}
 		return pl.Now - v.Since
 	}
-	for _, m := range pl.some64(pl.index.kinds(j)) {
+	for _, m := range pl.sampled(pl.index.kinds(j)) {
 		pl.out.Visits++
 		if !pl.allowed(j, m) || warm && (m.Images[j.Bundle] != ImageHeld || j.Standing && j.Machines[m.Name] > 0) {
 			continue
--- a/sizing.go
+++ b/sizing.go
@@ -421,7 +421,7 @@
 			continue // nothing but an old report may speak of it
 		}
 		h := cloud.Held{Name: m.Name, Build: m.Build, Yard: m.Yard, Loaned: m.Loaned, Up: m.Beaten, Cordoned: m.Cordoned,
-			UsedCores: m.UsedCores, UsedRAM: m.UsedRAM, Age: now - m.FirstSeen}
+			UsedCores: m.UsedCores}
 		m.Each(func(b *fleet.Booking) {
 			if b.Live() {
 				h.Live++
