A run over /do that was answered may come again: results stay until a higher warrant

Cause: requests that were carried out may be repeated. After its forget, a repeated /do under the same warrant and session starts an attempt anew, while the task may run elsewhere. A definite answer ended the doubt before. Now each run sent by /do is counted as able to arrive until the worker has shown a higher warrant or is in a newer session; a refusal (409) that can never turn ends it. The warrant is raised once in a lease when results wait for it. Orders are checked against the hold right before they are sent, so that a process that stood still sends nothing of before.

Ruled out: forgetting later by time (copies have no bound); a warrant for each command (a beat more for each). Seen to fail without it: TestNoForgetWhileARunMayComeAgain, TestJobRunsToDone (Repeat).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"cedardoor/clock"
+	"cedardoor/fleet"
 	"cedardoor/internal/link"
 	"cedardoor/wire"
 )
@@ -24,24 +25,33 @@
 // maxReport bounds a worker's answer.
 const maxReport = 4 << 20
 
-// Do sends commands. definite is false when the worker may have executed them
-// or may still do so; rep is the worker's report, if it gave one.
-func (c *Client) Do(ctx context.Context, endpoint string, do wire.Do) (rep *wire.Beat, definite bool, err error) {
+// Do sends commands and tells what has become of them; rep is the worker's
+// report, if it gave one.
+func (c *Client) Do(ctx context.Context, endpoint string, do wire.Do) (rep *wire.Beat, out fleet.Outcome, err error) {
 	status, body, err := link.Call(ctx, c.http, http.MethodPost, "http://"+endpoint+wire.PathDo, do, maxReport)
 	if err != nil {
-		return nil, link.NotSent(err), fmt.Errorf("commands to %s: %w", endpoint, err)
+		if link.NotSent(err) {
+			out = fleet.Void
+		}
+		return nil, out, fmt.Errorf("commands to %s: %w", endpoint, err)
 	}
 	switch status {
 	case http.StatusOK, http.StatusConflict:
 		b, err := wire.DecodeBeat(body)
 		if err != nil {
-			return nil, status == http.StatusConflict, fmt.Errorf("report of %s: %w", endpoint, err)
+			return nil, fleet.Open, fmt.Errorf("report of %s: %w", endpoint, err)
+		}
+		switch {
+		case status == http.StatusOK:
+			out = fleet.Executed
+		case b.Warrant > do.Warrant || b.Tenure > do.Tenure:
+			out = fleet.Void // for ever: neither goes back
 		}
-		return &b, true, nil
+		return &b, out, nil
 	case http.StatusBadRequest:
-		return nil, true, fmt.Errorf("commands to %s: refused as malformed", endpoint)
+		return nil, fleet.Void, fmt.Errorf("commands to %s: refused as malformed", endpoint)
 	}
-	return nil, false, fmt.Errorf("commands to %s: status %d", endpoint, status)
+	return nil, fleet.Open, fmt.Errorf("commands to %s: status %d", endpoint, status)
 }
 
 // Show asks a worker for its report.
--- a/engine.go
+++ b/engine.go
@@ -140,20 +140,22 @@
 	teams    map[string]config.Team
 	repairAt clock.Micros
 	raisedAt clock.Micros
-	arrivals []sample // loaned work that arrived within the window
-	rate     cloud.Load
-	rateAt   clock.Micros
-	seeded   cloud.Load // the predecessor's rate
-	lanes    map[string]runStat
-	peaks    []peak
-	idleFrom clock.Micros            // since when there has been no work at all
-	gone     map[string]clock.Micros // returned: whatever still speaks of them is old
-	goneList []string                // the same, oldest first
-	pending  map[string]*hire
-	hireSeq  int
-	refused  map[string]clock.Micros
-	heard    clock.Micros // the last beat of any worker
-	blocked  clock.Micros // when a lack of room was last logged
+	// repeatsAt is when repeats of direct commands were last looked for.
+	repeatsAt clock.Micros
+	arrivals  []sample // loaned work that arrived within the window
+	rate      cloud.Load
+	rateAt    clock.Micros
+	seeded    cloud.Load // the predecessor's rate
+	lanes     map[string]runStat
+	peaks     []peak
+	idleFrom  clock.Micros            // since when there has been no work at all
+	gone      map[string]clock.Micros // returned: whatever still speaks of them is old
+	goneList  []string                // the same, oldest first
+	pending   map[string]*hire
+	hireSeq   int
+	refused   map[string]clock.Micros
+	heard     clock.Micros // the last beat of any worker
+	blocked   clock.Micros // when a lack of room was last logged
 }
 
 func newReign(s *Service, r lead.Reign) *reign {
--- a/engine_test.go
+++ b/engine_test.go
@@ -281,11 +281,25 @@
 	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobDone || v.Done != 2 {
 		t.Fatalf("state %+v, want done", v)
 	}
-	beat(t, g, w) // forget
+	// The run may come again until the worker has shown a higher warrant.
 	beat(t, g, w)
+	beat(t, g, w)
+	w.Repeat()
+	for range 2 {
+		s.advance(10 * time.Second)
+		beat(t, g, w)
+	}
+	s.settle(g)
+	for range 3 { // learns the warrant, shows it, forgets
+		beat(t, g, w)
+		w.Repeat()
+	}
 	if rep := w.Report(); len(rep.Pieces) != 0 {
 		t.Errorf("not forgotten: %v", rep.Pieces)
 	}
+	if got := w.Starts(); len(got) != 2 {
+		t.Errorf("started %v, want each task once", got)
+	}
 	if keys := s.state.Keys(store.PrefixRuns); len(keys) != 0 {
 		t.Errorf("records left: %v", keys)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,7 +66,7 @@
 	Cause    string
 	Settled  bool // the result is durable: the worker may forget
 
-	doubt     uint64 // highest warrant of a /do run without a definite answer
+	doubt     uint64 // highest warrant of a /do run that may arrive, or arrive again
 	flying    int    // /do requests with this run now in flight
 	beatTally uint64 // highest tally of a beat whose answer carried the run
 	firstSent clock.Micros
@@ -132,6 +132,7 @@
 	missed bool   // a direct command did not get through since the last beat
 	told   uint64 // the warrant in the last answer
 	seen   []byte // the task list of the last report, as it came
+	shown  uint64 // the warrant that it came with
 	steady bool   // that list holds no news and asks for no orders
 	dueAt  clock.Micros
 	due    int // its index in the fleet's order of lease ends, plus one
@@ -178,7 +179,8 @@
 	first    uint64 // the reign's first warrant
 	due      leases // machines with bookings, by when their lease may run out
 	beats    *list.List
-	doubts   map[*Booking]bool
+	doubts   map[*Booking]bool // with a run that went unanswered: it may yet arrive
+	repeats  map[*Booking]bool // with a run that was answered: it may arrive again
 
 	// Room, if set, is told of every booking that comes to take room (+1) or no
 	// longer does (-1), with the zone that it counts for.
@@ -214,7 +216,7 @@
 // New makes an empty Fleet for a reign that began with the given warrant.
 func New(lease, report clock.Micros, first uint64) *Fleet {
 	return &Fleet{first: first, lease: lease.Stretch(Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
-		builds: map[string]wire.Build{}, beats: list.New(), doubts: map[*Booking]bool{}}
+		builds: map[string]wire.Build{}, beats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{}}
 }
 
 func (f *Fleet) touch(m *Machine) {
@@ -353,17 +355,22 @@
 func (f *Fleet) Adopt(m *Machine, b *Booking, now clock.Micros) {
 	f.Reserve(m, b, now)
 	b.Recorded, b.Adopted = true, true
-	f.setDoubt(b, f.first-1)
+	f.setDoubt(b, f.first-1, true)
 	m.Tenure = max(m.Tenure, b.Tenure)
 	b.firstSent = now
 }
 
-func (f *Fleet) setDoubt(b *Booking, warrant uint64) {
+// setDoubt notes up to which warrant a run of b may still arrive at its worker,
+// for the first time (open) or once more; zero when none can.
+func (f *Fleet) setDoubt(b *Booking, warrant uint64, open bool) {
 	b.doubt = warrant
-	if warrant > 0 {
+	if warrant > 0 && open {
 		f.doubts[b] = true
+	} else if warrant > 0 {
+		f.repeats[b] = true
 	} else {
 		delete(f.doubts, b)
+		delete(f.repeats, b)
 	}
 }
 
@@ -376,6 +383,7 @@
 	}
 	b.off = true
 	delete(f.doubts, b)
+	delete(f.repeats, b)
 	if k := (key{b.Piece, b.Try}); m.byKey[k] == b {
 		delete(m.byKey, k)
 	}
@@ -475,7 +483,7 @@
 	if viaBeat {
 		f.heard(m, now)
 	}
-	if m.steady && !unheard && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
+	if m.steady && !unheard && rep.Warrant == m.shown && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
 		return news, true
 	}
 	if err := rep.DecodePieces(); err != nil {
@@ -527,18 +535,18 @@
 	steady := len(m.strays) == 0
 	m.Each(func(b *Booking) {
 		f.Visits++
-		// A higher warrant voids copies that a /do without a definite answer left
-		// on their way, of attempts that are shown as well.
+		// A higher warrant voids the copies of a /do that are on their way, of
+		// attempts that are shown as well.
 		if b.doubt > 0 && rep.Warrant > b.doubt {
-			f.setDoubt(b, 0)
+			f.setDoubt(b, 0, false)
 		}
-		steady = steady && shown[b] && b.Live() && !b.Halt && !b.copiesOut()
+		// What has ended is steady too while only a higher warrant lets it be forgotten.
+		steady = steady && shown[b] && (b.Live() && !b.Halt || b.Status == wire.PieceEnded && b.doubt > 0)
 		if b.Tenure != rep.Tenure || shown[b] {
 			return
 		}
 		unheard = unheard || viaBeat && b.beatTally > 0 && rep.Tally > b.beatTally && b.Status == "" && !b.Ended
-		// Not in the report. A /do without a definite answer is dead once the
-		// worker has seen a higher warrant; the answer to a beat is dead once a
+		// Not in the report. A /do is dead once the worker has seen a higher warrant; the answer to a beat is dead once a
 		// later beat has come.
 		if b.copiesOut() {
 			return
@@ -560,7 +568,7 @@
 		news = append(news, News{Booking: b, Gone: true})
 	})
 	m.steady = steady
-	m.seen = append(m.seen[:0], rep.Raw...)
+	m.seen, m.shown = append(m.seen[:0], rep.Raw...), rep.Warrant
 	if unheard {
 		m.Unheard++
 		f.touch(m)
@@ -768,6 +776,10 @@
 		case b.Ended:
 			if b.Settled && !b.copiesOut() && b.Status == wire.PieceEnded {
 				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: b.Piece.String(), Try: b.Try})
+			} else if b.Status != "" && b.Status != wire.PieceEnded {
+				// Started once more by a copy, in a new process.
+				zero := 0.0
+				orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: b.Piece.String(), Try: b.Try, LeewayS: &zero})
 			}
 		case b.Halt:
 			if b.Status != "" && b.Status != wire.PieceEnded {
@@ -847,17 +859,41 @@
 	return fl
 }
 
-// Landed takes in the outcome of a /do. Without a definite answer its runs
-// stay in doubt: they may arrive minutes late.
-func (f *Fleet) Landed(fl *Flight, definite bool) {
+// Outcome is what is known of a direct command.
+type Outcome int
+
+// The outcomes of a direct command.
+const (
+	// Open: no definite answer. It may have been executed, or may yet be.
+	Open Outcome = iota
+	// Executed: answered. A copy of it may still come, minutes later: after a
+	// forget, the worker would take it for a new run under the same warrant and session.
+	Executed
+	// Void: it was not executed, and no copy of it can be.
+	Void
+)
+
+// Landed takes in the outcome of a /do. Unless it is void, its runs may arrive
+// until the worker has seen a higher warrant or is in a newer session.
+func (f *Fleet) Landed(fl *Flight, out Outcome) {
 	for _, b := range fl.runs {
 		b.flying--
-		if !definite {
-			if !b.off {
-				f.setDoubt(b, max(b.doubt, fl.Warrant))
-			}
+		if out != Void && !b.off {
+			f.setDoubt(b, max(b.doubt, fl.Warrant), out == Open)
+		}
+	}
+}
+
+// Repeats tells whether results wait on workers for a higher warrant than this
+// to be forgotten.
+func (f *Fleet) Repeats(warrant uint64) bool {
+	for b := range f.repeats {
+		f.Visits++
+		if b.Ended && b.doubt >= warrant {
+			return true
 		}
 	}
+	return false
 }
 
 // Doubts counts bookings with a run that may still arrive at workers that do report.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -67,7 +67,7 @@
 func TestDoubtEndsWithHigherWarrant(t *testing.T) {
 	f, m, b := booked(t)
 	fl := f.Launch(m, 2, 5)
-	f.Landed(fl, false)
+	f.Landed(fl, Open)
 	f.Stop(b, 0, 3)
 	if news, _ := f.Report(4, rep(1, 2, 5), true); gone(news) {
 		t.Fatal("absence believed under the warrant of the lost run")
@@ -80,17 +80,31 @@
 	}
 }
 
-func TestDefiniteAnswerLeavesNoDoubt(t *testing.T) {
-	f, m, b := booked(t)
-	fl := f.Launch(m, 2, 5)
-	f.Landed(fl, true)
-	f.Report(3, rep(1, 2, 5, shown(wire.PieceEnded, wire.CauseDone)), false)
-	if !b.Ended {
-		t.Fatal("end not taken in")
-	}
-	b.Settled = true
-	if o := f.Orders(m, 4, true, true); len(o) != 1 || o[0].Verb != wire.VerbForget {
-		t.Errorf("orders %v, want forget", o)
+// A direct command that was answered may come again: once the worker has
+// forgotten the attempt it would start it anew. So its result stays there until
+// the worker has shown a higher warrant, while its room is free at once.
+func TestNoForgetWhileARunMayComeAgain(t *testing.T) {
+	for _, tt := range []struct {
+		out    Outcome
+		forget bool
+	}{{Open, false}, {Executed, false}, {Void, true}} {
+		f, m, b := booked(t)
+		f.Landed(f.Launch(m, 2, 5), tt.out)
+		f.Report(3, rep(1, 2, 5, shown(wire.PieceEnded, wire.CauseDone)), false)
+		if !b.Ended || m.LiveCount() != 0 {
+			t.Fatal("end not taken in")
+		}
+		b.Settled = true
+		if o := f.Orders(m, 4, true, true); (len(o) == 1 && o[0].Verb == wire.VerbForget) != tt.forget {
+			t.Errorf("outcome %v: orders %v, forget: %t", tt.out, o, tt.forget)
+		}
+		if waits := f.Repeats(5); waits != (tt.out == Executed) {
+			t.Errorf("outcome %v: waits for a higher warrant: %t", tt.out, waits)
+		}
+		f.Report(5, rep(1, 3, 6, shown(wire.PieceEnded, wire.CauseDone)), true)
+		if o := f.Orders(m, 6, true, true); len(o) != 1 || o[0].Verb != wire.VerbForget {
+			t.Errorf("outcome %v: orders %v under a higher warrant, want forget", tt.out, o)
+		}
 	}
 }
 
@@ -200,13 +214,13 @@
 		}},
 		{"run in a /do without an answer", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
 			heard(f, 2)
-			f.Landed(f.Launch(m, 3, 5), false)
+			f.Landed(f.Launch(m, 3, 5), Open)
 			f.Stop(b, 0, 4)
 		}},
 		{"run in a /do that was answered", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
 			heard(f, 2)
 			fl := f.Launch(m, 3, 5)
-			f.Landed(fl, true)
+			f.Landed(fl, Executed)
 			f.Report(4, rep(1, 4, 5, shown(wire.PieceRunning, "")), false)
 		}},
 		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, b *Booking) {
@@ -285,8 +299,8 @@
 	f.Orders(m, 3, true, true)
 	f.Reserve(m, doubtful, 3)
 	doubtful.Recorded = true
-	f.Landed(f.Launch(m, 3, 5), false)
-	f.setDoubt(sure, 0)
+	f.Landed(f.Launch(m, 3, 5), Open)
+	f.setDoubt(sure, 0, false)
 	if _, fresh := f.Report(4, rep(1, 1, 0), true); fresh {
 		t.Fatal("a report that counts lower was taken in as it came")
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	lose    bool
 	keep    bool
 	late    []wire.Do
+	past    []wire.Do
 	starts  []string
 	warning *float64
 	fail    bool
@@ -159,9 +160,19 @@
 	}
 	w.warrant = d.Warrant
 	w.execute(d.Orders)
+	w.past = append(w.past, d)
 	return true
 }
 
+// Repeat lets every direct command that was executed arrive once more.
+func (w *Worker) Repeat() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range w.past[:len(w.past):len(w.past)] {
+		w.direct(d)
+	}
+}
+
 // Unreachable makes the worker give no answer to /do and /show.
 func (w *Worker) Unreachable(yes bool) { w.mu.Lock(); defer w.mu.Unlock(); w.cut = yes }
 
--- a/step.go
+++ b/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
@@ -233,24 +234,32 @@
 	return urgent
 }
 
+// errLate means that a command was not sent: it is of an earlier warrant or hold.
+var errLate = errors.New("the warrant or the hold that it was made under is over")
+
 // fly sends one /do and takes its outcome in.
 func (g *reign) fly(ctx context.Context, fl *fleet.Flight) {
 	dctx, cancel := context.WithTimeout(ctx, (1500 * clock.Millisecond).Duration())
-	rep, definite, err := g.workers.Do(dctx, fl.Machine.Endpoint, wire.Do{Warrant: fl.Warrant, Tenure: fl.Tenure, Orders: fl.Orders})
+	var rep *wire.Beat
+	out, err := fleet.Void, errLate
+	// What was computed before this process stood still must not go out after it.
+	if warrant, may := g.el.MayOrder(); may && warrant == fl.Warrant {
+		rep, out, err = g.workers.Do(dctx, fl.Machine.Endpoint, wire.Do{Warrant: fl.Warrant, Tenure: fl.Tenure, Orders: fl.Orders})
+	}
 	cancel()
 	if err != nil {
-		g.log.Debug("direct command", "host", fl.Machine.Name, "definite", definite, "error", err)
+		g.log.Debug("direct command", "host", fl.Machine.Name, "outcome", out, "error", err)
 	}
 	now := g.ck.Now()
 	g.mu.Lock()
-	g.fl.Landed(fl, definite)
+	g.fl.Landed(fl, out)
 	delete(g.busy, fl.Machine.Name)
 	switch m := fl.Machine; {
 	case rep != nil && rep.Host == m.Name:
 		g.fl.Obeyed(m)
 		news, _ := g.fl.Report(now, rep, false)
 		g.news(news, now)
-	case err != nil && ctx.Err() == nil:
+	case err != nil && err != errLate && ctx.Err() == nil:
 		g.fl.Missed(m)
 	}
 	g.mu.Unlock()
@@ -258,12 +267,19 @@
 }
 
 // fence raises the warrant when runs are in doubt at workers that do report,
-// so that a late copy of them is void.
+// so that a late copy of them is void. Now and then it does so for those that
+// were answered, too: a copy of one may come again after the worker has
+// forgotten the attempt, so results stay on the workers until it can't.
 func (g *reign) fence(ctx context.Context) {
 	now := g.ck.Now()
 	g.mu.Lock()
 	warrant, may := g.el.MayOrder()
 	due := may && (g.raisedAt == 0 || now-g.raisedAt > 4*clock.Second) && g.fl.Doubts(now, warrant) > 0
+	// Each raise costs a beat of every worker, and what waits takes but a line in its reports.
+	if may && !due && now-max(g.raisedAt, g.r.Since) > clock.FromSeconds(g.cfg.Facts.Workers.LeaseS) && now-g.repeatsAt > clock.Second {
+		g.repeatsAt = now
+		due = g.fl.Repeats(warrant)
+	}
 	if due {
 		g.raisedAt = now
 	}
@@ -274,6 +290,6 @@
 	if next, err := g.el.Raise(ctx); err != nil {
 		g.log.Debug("raise warrant", "error", err)
 	} else {
-		g.log.Info("warrant raised: a direct command is in doubt", "warrant", next)
+		g.log.Info("warrant raised: copies of direct commands are void", "warrant", next)
 	}
 }
