Sockets by need: idle connections make way, what has no room is turned away at once

Cause: 0.78 of the limit was given to workers and users and the rest left hanging in the backlog; at 1.5 times the fleet (1,956 workers, 2,061 sockets) they need not fit. Now the limit is divided from the settings: own needs, direct commands, questions, the rest for users and workers. From 7/8 of that on, answers to beats ask for a close; at the limit the longest idle connection makes way; with none idle, a new one is refused at once, which the log tells. Direct commands and questions in flight follow the limit too.

Ruled out: closing by user or worker (not known at accept).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -78,9 +78,14 @@
 	Leader() string
 }
 
-// ServeBeat handles POST of a worker's report.
-func ServeBeat(s Steward) http.HandlerFunc {
+// ServeBeat handles POST of a worker's report. While short tells that
+// connections run short, the answer asks the worker to close its own: the next
+// beat is seconds away and may come on a new one.
+func ServeBeat(s Steward, short func() bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if short() {
+			w.Header().Set("Connection", "close")
+		}
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 		if err != nil {
 			Write(w, http.StatusBadRequest, wire.Error{Error: "body too large or cut short"})
--- a/engine.go
+++ b/engine.go
@@ -108,6 +108,8 @@
 	met     *Metrics
 	r       lead.Reign
 
+	socks sockets
+
 	kick chan struct{}
 
 	mu       sync.Mutex // guards everything below
@@ -161,7 +163,7 @@
 func newReign(s *Service, r lead.Reign) *reign {
 	w := s.cfg.Facts.Workers
 	g := &reign{
-		cfg: s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r,
+		cfg: s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
 		kick: make(chan struct{}, 1),
 		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Warrant),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
--- a/rules_test.go
+++ b/rules_test.go
@@ -361,7 +361,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	agent.ServeBeat(n)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(raw)))
+	agent.ServeBeat(n, func() bool { return false })(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(raw)))
 	if rec.Code != http.StatusServiceUnavailable {
 		t.Errorf("beat: %d %s", rec.Code, rec.Body)
 	}
--- a/service.go
+++ b/service.go
@@ -44,6 +44,7 @@
 	met     *Metrics
 	reign   atomic.Pointer[reign]
 	front   *chi.Mux
+	socks   sockets
 	// relayAfter is when relaying is worth trying again, on the steady clock.
 	relayAfter atomic.Int64
 
@@ -62,7 +63,8 @@
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
-	s.workers = agent.NewClient(max(16, f.Limits.FDLimit/8))
+	s.socks = divide(f.Limits.FDLimit)
+	s.workers = agent.NewClient(s.socks.kept)
 	for _, o := range cfg.Others {
 		s.links[o.Node] = peer.NewLink(o.Addr)
 		s.relays[o.Node] = peer.NewLink(o.Addr)
@@ -91,13 +93,14 @@
 		front.Close()
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	s.front.Post(wire.PathBeat, agent.ServeBeat(s))
+	gate := newGate(front, s.socks.gate, s.ck, s.log)
+	s.front.Post(wire.PathBeat, agent.ServeBeat(s, gate.Short))
 	srv := &http.Server{Handler: s.front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
-		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), ConnState: gate.note}
 	var wg sync.WaitGroup
 	failed := make(chan error, 2)
 	wg.Go(func() {
-		failed <- srv.Serve(newLimit(front, max(8, s.cfg.Facts.Limits.FDLimit*78/100)))
+		failed <- srv.Serve(gate)
 	})
 	if s.op.Metrics.Listen != "" {
 		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.met.Handler(), ReadHeaderTimeout: 10 * time.Second}
@@ -295,37 +298,3 @@
 	s.catMu.Unlock()
 	return got, true
 }
-
-// limit is a listener that leaves connections beyond a number unaccepted, so
-// that the load balancer turns to another node.
-type limit struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func newLimit(l net.Listener, n int) *limit {
-	return &limit{Listener: l, slots: make(chan struct{}, n)}
-}
-
-// Accept implements net.Listener.
-func (l *limit) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limited{Conn: c, free: func() { <-l.slots }}, nil
-}
-
-type limited struct {
-	net.Conn
-	once sync.Once
-	free func()
-}
-
-// Close implements net.Conn.
-func (c *limited) Close() error {
-	c.once.Do(c.free)
-	return c.Conn.Close()
-}
--- a/silent.go
+++ b/silent.go
@@ -15,9 +15,6 @@
 // muteAfter is how many questions in a row a silent worker must fail to answer.
 const muteAfter = 2
 
-// maxProbes bounds the questions to workers in flight.
-const maxProbes = 24
-
 // few tells whether so many machines may be at fault themselves: when many
 // seem to be at once, the fault is rather this controller's network, and no
 // machine is given up for it. The caller holds mu.
@@ -157,7 +154,7 @@
 
 // ask asks a worker for its report. The caller holds mu.
 func (g *reign) ask(m *fleet.Machine) {
-	if m.Probing || m.Endpoint == "" || m.Returning || g.probes >= maxProbes || g.ctx == nil {
+	if m.Probing || m.Endpoint == "" || m.Returning || g.probes >= g.socks.probes || g.ctx == nil {
 		return
 	}
 	m.Probing = true
--- a/step.go
+++ b/step.go
@@ -197,7 +197,7 @@
 	}
 	now := g.ck.Now()
 	for m := range g.toTell {
-		if len(g.busy) >= maxFlights {
+		if len(g.busy) >= g.socks.flights {
 			break
 		}
 		if g.busy[m.Name] {
@@ -216,9 +216,6 @@
 	}
 }
 
-// maxFlights bounds the direct commands in flight.
-const maxFlights = 32
-
 // urgent tells whether a machine has commands that should not wait for its next beat.
 func (g *reign) urgent(m *fleet.Machine) bool {
 	urgent := false
