A process that stood still sends nothing of before and counts silence anew

Cause: one that stands still for longer than its hold, its clocks running on, wakes in the middle of what it had computed. A direct command, a return or a rental made before would have gone out after, and if the hold had lasted (an outage of the state service) every machine would have looked silent for 45 s and been returned. Now commands, returns and rentals are checked against the hold at the last step; a gap of 3 s between two looks at the clock is noticed, and silence, boots and idle times count from then on. Beats and records were fenced already; what a check can't cover is recorded, so that the successor counts it as possible.

Ruled out: mass settlement by stale lease timers (every record is under the stamp of the lead). Tests, seen to fail without the guards: TestNothingOfBeforeGoesOutAfterStandingStill, TestStandingStillIsNoSilence.

--- a/engine.go
+++ b/engine.go
@@ -142,6 +142,8 @@
 	teams    map[string]config.Team
 	repairAt clock.Micros
 	raisedAt clock.Micros
+	awake    clock.Micros // since when this process has not stood still
+	pulsed   clock.Micros // when that was last looked at
 	// repeatsAt is when repeats of direct commands were last looked for.
 	repeatsAt clock.Micros
 	arrivals  []sample // loaned work that arrived within the window
@@ -164,7 +166,7 @@
 	w := s.cfg.Facts.Workers
 	g := &reign{
 		cfg: s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
-		kick: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), awake: r.Since,
 		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Warrant),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
@@ -238,6 +240,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { g.watchJobs(ctx, epoch) })
 	wg.Go(func() { g.sizeLoop(ctx) })
+	wg.Go(func() { g.pulseLoop(ctx) })
 	g.loop(ctx)
 	wg.Wait()
 	return nil
--- a/silent.go
+++ b/silent.go
@@ -20,6 +20,32 @@
 // machine is given up for it. The caller holds mu.
 func (g *reign) few(n int) bool { return n <= max(2, g.fl.Len()/5) }
 
+// stoodStill is the gap between two looks at the clock that shows that this
+// process has not run meanwhile.
+const stoodStill = 3 * clock.Second
+
+// pulseLoop watches for this process having stood still while its clocks ran on.
+func (g *reign) pulseLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.pulse()
+		g.sleep(ctx, tick)
+	}
+}
+
+// pulse notes when this process went on after standing still. Whatever seemed
+// silent, idle or slow to boot meanwhile was only not listened to, so that is
+// counted from then on: one that wakes must not give up all its machines.
+func (g *reign) pulse() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.ck.Now()
+	if g.pulsed > 0 && now-g.pulsed > stoodStill {
+		g.log.Info("this process stood still: silence is counted anew", "seconds", (now - g.pulsed).Seconds())
+		g.awake = now
+	}
+	g.pulsed = now
+}
+
 // probeSilent asks workers that have gone silent for a sign of life. A machine
 // with replicas that gives none is returned to the cloud: its 200 proves the
 // replicas gone, so that they start elsewhere long before the machine's lease
@@ -30,7 +56,7 @@
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now-g.probedAt < tick {
+	if now-g.probedAt < tick || now-g.awake < 2*report {
 		return
 	}
 	g.probedAt = now
@@ -198,7 +224,7 @@
 	now := g.ck.Now()
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
-	silent := g.fl.Len() >= 2 && now-max(g.heard, g.r.Since) > cutReports*report+clock.Second
+	silent := g.fl.Len() >= 2 && now-max(g.heard, g.r.Since, g.awake) > cutReports*report+clock.Second
 	unheard := g.deaf >= 3 && 2*g.deaf > g.fl.Len()
 	silent = silent && g.expected() >= 2
 	g.mu.Unlock()
--- a/sizing.go
+++ b/sizing.go
@@ -340,7 +340,7 @@
 		need.Loaned, need.Pressing, need.Growth = cloud.Load{}, cloud.Load{}, 0
 		need.Hold, need.HoldOrdinary, need.HoldPressing = 0, 0, 0
 	}
-	need.Keep = now-g.r.Since < 15*clock.Second
+	need.Keep = now-max(g.r.Since, g.awake) < 15*clock.Second
 	return need
 }
 
@@ -416,6 +416,7 @@
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	quiet, known := map[string]int{}, map[string]int{}
+	listed := now-g.awake > 3*clock.FromSeconds(g.cfg.Facts.Cloud.ListLagS) // the list is not of before it stood still
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -453,9 +454,9 @@
 			ready = b.ReadyS
 		}
 		dead := m.Listed == wire.HostFailed ||
-			m.Listed == wire.HostBooting && !m.Beaten && (now-m.FirstSeen).Seconds() > ready*g.op.Fleet.BootFactor ||
-			m.Beaten && now-m.LastBeat > silent ||
-			!m.Beaten && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since) > silent ||
+			m.Listed == wire.HostBooting && !m.Beaten && listed && (now-m.FirstSeen).Seconds() > ready*g.op.Fleet.BootFactor ||
+			m.Beaten && now-max(m.LastBeat, g.awake) > silent ||
+			!m.Beaten && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since, g.awake) > silent ||
 			(m.Banned == "sick" || m.Banned == "slow") && h.Live == 0 ||
 			m.Returning
 		if dead && !m.Returning {
@@ -549,6 +550,10 @@
 // giveBack returns machines. Nothing new is put on them from the moment that
 // it is decided; their bookings are freed only by the cloud's 200.
 func (g *reign) giveBack(ctx context.Context, names []string) {
+	// Judged before this process stood still, perhaps: a successor may use them.
+	if _, may := g.el.MayOrder(); !may {
+		return
+	}
 	if err := g.cl.Return(ctx, names); err != nil {
 		g.log.Debug("return machines", "error", err)
 		return // they stay marked, and are returned on a later pass
@@ -577,6 +582,10 @@
 	var hosts []string
 	var err error
 	for try := 0; try < 3; try++ {
+		if _, may := g.el.MayOrder(); !may {
+			err = errLate
+			break
+		}
 		hosts, err = g.cl.Rent(ctx, req)
 		if err == nil || errors.Is(err, cloud.ErrNoCapacity) || ctx.Err() != nil {
 			break
--- a/step.go
+++ b/step.go
@@ -71,11 +71,11 @@
 // hush finds the machines that have fallen silent, now and then: nothing is
 // placed on them. The caller holds mu.
 func (g *reign) hush(now clock.Micros) {
-	if now-g.hushAt < tick {
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
+	if now-g.hushAt < tick || now-g.awake < 2*report {
 		return
 	}
 	g.hushAt = now
-	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	for _, m := range g.fl.Hush(now, 2*report) {
 		if !m.Hushed {
 			m.Hushed = true
--- /dev/null
+++ b/still_test.go
@@ -0,0 +1,105 @@
+package cedardoor
+
+import (
+	"testing"
+	"time"
+
+	"cedardoor/cloud"
+	"cedardoor/wire"
+)
+
+// A process may stand still, longer than its hold, at any point. Whatever it had
+// computed before and is about to send is checked against the hold at the last
+// step, so that nothing of it goes out after.
+func TestNothingOfBeforeGoesOutAfterStandingStill(t *testing.T) {
+	s, n, g, w := alone(t)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	g.mu.Lock()
+	now := g.ck.Now()
+	g.plan(now)
+	write := g.collect()
+	g.mu.Unlock()
+	if !g.record(t.Context(), write) {
+		t.Fatal("placement not recorded")
+	}
+	g.mu.Lock()
+	fl := g.fl.Launch(g.fl.Machine("n-1"), now, 1)
+	g.mu.Unlock()
+	if fl == nil || len(fl.Orders) != 1 {
+		t.Fatalf("no command is about to be sent: %+v", fl)
+	}
+	rep := w.Report()
+	s.kill(n) // nothing of this node's renewals gets through any more
+	s.clk.Advance(32 * time.Second)
+
+	g.fly(t.Context(), fl)
+	if got := w.Starts(); len(got) != 0 {
+		t.Errorf("a direct command of before was sent: %v", got)
+	}
+	g.giveBack(t.Context(), []string{"n-1"})
+	if got := s.cloud.Returns(); len(got) != 0 {
+		t.Errorf("a machine was returned on what was known before: %v", got)
+	}
+	g.rent(t.Context(), cloud.Wish{Build: "b", Yard: "x", Count: 3})
+	if got := s.cloud.Asked(); len(got) != 0 {
+		t.Errorf("machines were rented on what was known before: %v", got)
+	}
+	if _, ok := g.Beat(&rep); ok {
+		t.Error("a beat was answered")
+	}
+	if g.fl.Machine("n-1").Deaf() {
+		t.Error("a command that was not sent counts as a sign of deafness")
+	}
+	// The successor counts the recorded attempt as possible, though it was never sent.
+	b := s.node(nil)
+	gb, _ := s.elect(b)
+	gb.mu.Lock()
+	defer gb.mu.Unlock()
+	if pc := gb.jobs["j-1"].pieces[0]; pc.booking == nil || pc.booking.Machine.Name != "n-1" {
+		t.Error("the successor does not count an attempt that may have been sent")
+	}
+}
+
+// A leader that keeps its hold while it stands still (the state service was out
+// for all) has heard nobody meanwhile. That is its own silence, not the machines':
+// nothing is given up, and the lead is kept.
+func TestStandingStillIsNoSilence(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	hosts := []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"}
+	for i, h := range hosts {
+		beat(t, g, s.worker(h, []string{"x", "y"}[i%2], i > 2))
+	}
+	for _, h := range hosts {
+		g.mu.Lock()
+		g.fl.Machine(h).Listed = wire.HostRunning
+		g.mu.Unlock()
+	}
+	g.pulse()
+	s.advance(50 * time.Second)
+	g.pulse()
+	g.resize(t.Context())
+	g.step(t.Context())
+	if got := s.cloud.Returns(); len(got) != 0 {
+		t.Errorf("returned on waking: %v", got)
+	}
+	for _, h := range hosts {
+		if g.fl.Machine(h).Returning {
+			t.Errorf("%s is to be returned", h)
+		}
+	}
+	if _, ok := n.el.MayAnswer(); !ok {
+		t.Error("gave the lead up on waking")
+	}
+	// From then on silence counts as ever.
+	for range 50 {
+		s.advance(time.Second)
+		g.pulse()
+	}
+	g.resize(t.Context())
+	if len(s.cloud.Returns()) == 0 {
+		t.Error("silence after waking is not counted")
+	}
+}
