Rentals side by side in whole batches; limits of size from the settings, told when reached

Cause: one rental after the other, at most four a pass, fills a large site by 200 machines each three seconds, and a mass loss as slowly. Now a pass asks for as many batches of 50 as the cloud's requests allow, side by side.

--- a/cloud/size.go
+++ b/cloud/size.go
@@ -61,6 +61,7 @@
 	Cordon   []string // no new tasks: they are to be returned when empty
 	Uncordon []string
 	Return   []string // empty: can go now
+	Capped   bool     // more would be rented, but for Need.Machines
 }
 
 // Refused tells whether a type, zone and kind was refused not long ago.
@@ -375,5 +376,6 @@
 		missing -= o.worth
 		asked++
 	}
+	v.Capped = v.Capped || missing > 0.5 && asked >= most
 	return asked
 }
--- a/engine.go
+++ b/engine.go
@@ -160,6 +160,7 @@
 	refused   map[string]clock.Micros
 	heard     clock.Micros // the last beat of any worker
 	blocked   clock.Micros // when a lack of room was last logged
+	capped    clock.Micros // when the limit of machines was last logged
 }
 
 func newReign(s *Service, r lead.Reign) *reign {
--- a/service.go
+++ b/service.go
@@ -113,6 +113,9 @@
 	}
 	wg.Go(func() { peer.Serve(ctx, back, s.answerPeer, s.log) })
 	wg.Go(func() { s.el.Run(ctx, s.lead) })
+	for _, w := range s.cfg.Tight() {
+		s.log.Info("settings are tight", "field", w)
+	}
 	s.log.Info("serving", "node", s.cfg.Node, "listen", s.cfg.ClientListen)
 	select {
 	case <-ctx.Done():
--- a/sizing.go
+++ b/sizing.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync"
 
 	"cedardoor/clock"
 	"cedardoor/cloud"
@@ -47,7 +48,7 @@
 				catAt = now
 			}
 		}
-		if err == nil && (listAt == 0 || now-listAt > 3*clock.Second) {
+		if err == nil && (listAt == 0 || now-listAt > listEvery(g.machines())) {
 			if err = g.readList(ctx); err == nil {
 				listAt = now
 			}
@@ -64,6 +65,19 @@
 	}
 }
 
+// listEvery is how far apart the machine list is read: it lags by seconds
+// anyway, and each page of it is one of the cloud's few requests.
+func listEvery(machines int) clock.Micros {
+	return 3*clock.Second + clock.Micros(machines/500)*clock.Second
+}
+
+// machines is how many machines are known.
+func (g *reign) machines() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fl.Len()
+}
+
 func (g *reign) readCatalog(ctx context.Context) error {
 	cat, err := g.cl.Catalog(ctx)
 	if err != nil {
@@ -516,17 +530,33 @@
 	if len(giveUp) > 0 {
 		g.giveBack(ctx, giveUp[:min(len(giveUp), wire.MaxReturn)])
 	}
-	for i, w := range v.Rent {
-		if i >= 4 {
-			break // the rest on the next pass: the cloud's requests are few
-		}
-		g.rent(ctx, w)
+	if v.Capped && now-g.capped > 10*clock.Second {
+		g.capped = now
+		g.log.Info("no more machines may be held: fleet.max_machines", "most", g.op.Fleet.MaxMachines)
+	}
+	// The most pressing first, in whole batches and side by side; what goes beyond
+	// the cloud's requests of a pass is asked for on the next.
+	var wg sync.WaitGroup
+	for _, w := range batches(v.Rent, int(g.cfg.Facts.Cloud.RPS*g.op.Fleet.PeriodS)) {
+		wg.Go(func() { g.rent(ctx, w) })
 	}
+	wg.Wait()
 	if len(v.Uncordon) > 0 {
 		g.wake()
 	}
 }
 
+// batches splits rentals into what one request may ask for, at most so many requests.
+func batches(wishes []cloud.Wish, most int) (out []cloud.Wish) {
+	for _, w := range wishes {
+		for left := w.Count; left > 0 && len(out) < max(4, most); left -= wire.MaxRentCount {
+			w.Count = min(left, wire.MaxRentCount)
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // cutZones names the zones nearly all of whose machines are silent: nothing is
 // rented where it could not be reached. A wave of spot machines taken back
 // leaves others. When all zones are silent, the fault is this controller's.
