--- a/engine_test.go
+++ b/engine_test.go
@@ -794,6 +794,28 @@
 	}
 }
 
+// With many machines, one interval without any beat is proof enough: the sooner
+// another leads, the fewer leases run out.
+func TestDeafLeaderOfManyAbdicatesSooner(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.advance(time.Second)
+	for i := range manyReport {
+		beat(t, g, s.worker(fmt.Sprintf("n-%d", i), "x", true))
+	}
+	s.advance(5 * time.Second)
+	g.abdicate()
+	if _, ok := n.el.MayAnswer(); !ok {
+		t.Fatal("gave up within the time in which a worker may report")
+	}
+	s.advance(time.Second)
+	g.abdicate()
+	for s.state.Value(store.KeyLead, nil) {
+		runtime.Gosched()
+	}
+}
+
 // A new leader counts what a cancelled job's tasks take while they may still exist.
 func TestCancelledTasksCountForLimit(t *testing.T) {
 	limit := func(f *config.Facts) { f.Teams[0].CPUsMax = 4 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -232,6 +232,9 @@
 	}
 }
 
+// Reporting is how many machines have reported under this reign and whose lease has not run out.
+func (f *Fleet) Reporting() int { return f.beats.Len() }
+
 // Len is how many machines are known.
 func (f *Fleet) Len() int { return len(f.machines) }
 
--- a/silent.go
+++ b/silent.go
@@ -217,6 +217,20 @@
 // believe that it is cut off from the workers.
 const cutReports = 3
 
+// manyReport is how many machines make that sure sooner: each of them reports
+// within five quarters of an interval, so one interval without any beat is no
+// chance, and every second counts against the leases of all.
+const manyReport = 10
+
+// cutAfter is how long no beat may come before the leader gives up. A new
+// leader waits longer, since its workers have yet to find it. The caller holds mu.
+func (g *reign) cutAfter(report clock.Micros) clock.Micros {
+	if g.fl.Reporting() >= manyReport && g.heard > max(g.r.Since, g.awake) {
+		return report + report/4 + 2*clock.Second
+	}
+	return cutReports*report + clock.Second
+}
+
 // abdicate gives leadership up when no worker at all is heard any more, or
 // none hears: this node may be cut off from them while another is not. If
 // nobody reaches them, leadership goes round, which harms nothing.
@@ -224,7 +238,7 @@
 	now := g.ck.Now()
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	g.mu.Lock()
-	silent := g.fl.Len() >= 2 && now-max(g.heard, g.r.Since, g.awake) > cutReports*report+clock.Second
+	silent := g.fl.Len() >= 2 && now-max(g.heard, g.r.Since, g.awake) > g.cutAfter(report)
 	unheard := g.deaf >= 3 && 2*g.deaf > g.fl.Len()
 	silent = silent && g.expected() >= 2
 	g.mu.Unlock()
--- a/sizing.go
+++ b/sizing.go
@@ -502,8 +502,17 @@
 		return no
 	}
 	live := 0
+	var cores, idle [2]float64 // ordinary and loaned ones that count, and what of them is unused
 	for _, h := range held {
 		live += h.Live
+		if b, known := g.fl.Build(h.Build); known && !h.Lost && h.Up {
+			kind := 0
+			if h.Loaned {
+				kind = 1
+			}
+			cores[kind] += b.Cores
+			idle[kind] += b.Cores - h.UsedCores
+		}
 	}
 	g.met.Fleet(len(held), live, len(g.refused))
 	need := g.demand(now)
@@ -525,7 +534,7 @@
 		}
 	}
 	g.log.Debug("sizing", "held", len(held), "ordinary", math.Round(need.Ordinary.Cores), "loaned", math.Round(need.Loaned.Cores), "pressing", math.Round(need.Pressing.Cores), "rate", math.Round(g.rate.Cores),
-		"rent", fmt.Sprint(v.Rent), "cordon", len(v.Cordon), "uncordon", len(v.Uncordon), "return", fmt.Sprint(giveUp))
+		"up", fmt.Sprint(cores), "unused", fmt.Sprint(idle), "rent", fmt.Sprint(v.Rent), "cordon", len(v.Cordon), "uncordon", len(v.Uncordon), "return", fmt.Sprint(giveUp))
 	g.mu.Unlock()
 	if len(giveUp) > 0 {
 		g.giveBack(ctx, giveUp[:min(len(giveUp), wire.MaxReturn)])
