Warrant raised for repeats once in two leases, sooner when a report grows; tests of size

Cause: a worker tells of a new warrant at once, but not again within half a lease. Raised once in a lease, the warrant of every second leader would wait for a regular beat to be shown, and its machines to be trusted. And results that wait to be forgotten must not outgrow a report of 64 KiB: 300 on one machine raise it early; answers to workers hold 600 orders.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -181,6 +181,7 @@
 	beats    *list.List
 	doubts   map[*Booking]bool // with a run that went unanswered: it may yet arrive
 	repeats  map[*Booking]bool // with a run that was answered: it may arrive again
+	crowded  bool              // some machine's report is getting long with results that wait for that to be ruled out
 
 	// Room, if set, is told of every booking that comes to take room (+1) or no
 	// longer does (-1), with the zone that it counts for.
@@ -416,6 +417,7 @@
 	m.UsedRAM = max(0, m.UsedRAM-b.RAM)
 	m.steady = false
 	f.room(b, -1)
+	f.crowded = f.crowded || len(m.list)-m.live > crowd
 	if m.live == 0 {
 		// Sums of decimals drift; an empty machine is exactly empty.
 		m.UsedCores, m.UsedAccel, m.UsedRAM = 0, 0, 0
@@ -753,6 +755,9 @@
 	m.told = warrant
 }
 
+// maxOrders keeps an answer to a worker, and a direct command, under 64 KiB.
+const maxOrders = 600
+
 // Orders lists what a worker should be told. For a beat, the runs in it are
 // noted as carried by the answer to the beat of this tally.
 func (f *Fleet) Orders(m *Machine, now clock.Micros, viaBeat, mayRun bool) []wire.Order {
@@ -762,6 +767,9 @@
 	}
 	var runs []wire.Order
 	for _, s := range sorted(m.strays) {
+		if len(orders) >= maxOrders {
+			break
+		}
 		// Not on the books here: it is stopped, then forgotten.
 		if !m.strays[s].ended {
 			zero := 0.0
@@ -772,6 +780,9 @@
 	}
 	for _, b := range m.list {
 		f.Visits++
+		if len(orders)+len(runs) >= maxOrders {
+			break // the next answer goes on from here
+		}
 		if b.Tenure != m.Tenure {
 			continue
 		}
@@ -887,6 +898,17 @@
 	}
 }
 
+// crowd is how many results may wait on one worker to be forgotten before a
+// higher warrant is pressing: a report has 64 KiB, and each takes some 60 bytes.
+const crowd = 300
+
+// Crowded tells whether some worker's report is getting long, once.
+func (f *Fleet) Crowded() bool {
+	was := f.crowded
+	f.crowded = false
+	return was
+}
+
 // Repeats tells whether results wait on workers for a higher warrant than this
 // to be forgotten.
 func (f *Fleet) Repeats(warrant uint64) bool {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -33,6 +33,7 @@
 	refuse map[string]bool
 	lose   int
 	late   []wire.Txn
+	past   []wire.Txn
 	delay  bool
 	puts   int
 	asked  int
@@ -86,6 +87,15 @@
 // Late counts the transactions kept back.
 func (s *State) Late() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.late) }
 
+// Repeat lets every transaction that was applied arrive once more.
+func (s *State) Repeat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.past[:len(s.past):len(s.past)] {
+		s.commit(t)
+	}
+}
+
 // Requests counts the requests that came so far.
 func (s *State) Requests() int { s.mu.Lock(); defer s.mu.Unlock(); return s.asked }
 
@@ -189,6 +199,7 @@
 		return http.StatusOK, wire.TxnAnswer{Epoch: s.epoch}
 	}
 	s.epoch++
+	s.past = append(s.past, t)
 	for _, a := range t.Apply {
 		s.puts++
 		if a.Set == "" {
--- /dev/null
+++ b/size_test.go
@@ -0,0 +1,187 @@
+package cedardoor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cedardoor/cloud"
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// adopted is a new leader that has read the records of so many machines with
+// the given tasks on each, all of them of predecessors.
+func adopted(t *testing.T, machines, tasks int) (*site, *reign) {
+	t.Helper()
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.ck.Now()
+	for k := range tasks {
+		sp := spec(fmt.Sprintf("j-%d", k), func(sp *wire.Spec) {
+			sp.Pieces, sp.Cores, sp.RAM = machines, 1, 1
+			if k%2 == 0 {
+				sp.Shape, sp.Rank, sp.Loaned = wire.ShapeStanding, "critical", false
+			}
+		})
+		raw, err := wire.Marshal(store.JobRecord{Spec: sp})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := g.addJob(store.JobKey(sp.UID), raw, 1, now); err != nil {
+			t.Fatal(err)
+		}
+		j := g.jobs[sp.UID]
+		for i := range machines {
+			m := g.fl.Ensure(fmt.Sprintf("n-%d", i), now)
+			b := g.booking(j, i, 1)
+			b.Tenure = 1
+			g.fl.Adopt(m, b, now)
+			j.pieces[i].state, j.pieces[i].booking, j.pieces[i].try = piecePlaced, b, 1
+		}
+	}
+	return s, g
+}
+
+// report is what the i-th machine of an adopted fleet says.
+func report(i, tasks int, tally, warrant uint64) *wire.Beat {
+	b := &wire.Beat{Host: fmt.Sprintf("n-%d", i), Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: tally, Warrant: warrant}
+	for k := range tasks {
+		b.Pieces = append(b.Pieces, wire.PieceReport{Piece: fmt.Sprintf("j-%d/%d", k, i), Try: 1, Status: wire.PieceRunning})
+	}
+	return b
+}
+
+// All workers come to a new leader within a second or two. What each beat costs
+// does not grow with the fleet, nothing is moved or started meanwhile, and each
+// machine is trusted by its second beat.
+func TestSurgeAfterAllControllersEnded(t *testing.T) {
+	const tasks = 4
+	visits := func(machines int) float64 {
+		_, g := adopted(t, machines, tasks)
+		g.fl.Visits = 0
+		for tally, warrant := range []uint64{0, g.r.Warrant} {
+			for i := range machines {
+				ans, ok := g.Beat(report(i, tasks, uint64(tally)+1, warrant))
+				if !ok || len(ans.Orders) != 0 || ans.Warrant != g.r.Warrant {
+					t.Fatalf("machine %d of %d: answered %t, %+v", i, machines, ok, ans)
+				}
+			}
+		}
+		per := float64(g.fl.Visits) / float64(2*machines)
+		if up := g.fl.Reporting(); up != machines {
+			t.Errorf("%d of %d machines are trusted", up, machines)
+		}
+		return per
+	}
+	small, large := visits(200), visits(2000)
+	if small != large || large > 4*tasks {
+		t.Errorf("a beat of the surge visits %.1f and %.1f, want the same and few", small, large)
+	}
+}
+
+// Hundreds of machines lost at once: what is lost is found by looking at it
+// alone; its records go by rank, each within a transaction's limits, and its
+// machines are asked for in whole batches.
+func TestMassLoss(t *testing.T) {
+	const tasks = 4
+	visits := func(machines, lost int) int {
+		s, g := adopted(t, machines, tasks)
+		s.advance(10 * time.Second)
+		for i := range machines - lost {
+			g.Beat(report(i, tasks, 1, 0))
+			g.Beat(report(i, tasks, 2, g.r.Warrant))
+		}
+		s.advance(14 * time.Second)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		now := g.ck.Now()
+		g.fl.Visits = 0
+		news := g.fl.Expire(now)
+		if len(news) != lost*tasks {
+			t.Fatalf("%d of %d machines lost: %d tasks gone, want %d", lost, machines, len(news), lost*tasks)
+		}
+		looked := g.fl.Visits
+		g.news(news, now)
+		for uid := range g.lazy {
+			g.dirty[uid] = true
+		}
+		last := wire.RankCritical
+		for w := g.collect(); w != nil; w = g.collect() {
+			if n := len(w.txn.Apply); n > g.cfg.Facts.State.TxnOps {
+				t.Fatalf("%d changes in a transaction", n)
+			}
+			for _, c := range w.chunks {
+				if c.j.rank > last {
+					t.Errorf("%s is recorded after work of lower rank", c.j.uid)
+				}
+				last = c.j.rank
+				c.j.chunks[c.n].saved = c.seq
+			}
+		}
+		return looked
+	}
+	// Each machine's lease end is looked at once a lease; beyond that, only what is lost.
+	for _, machines := range []int{300, 2000} {
+		if looked := visits(machines, 100); looked > machines+100*tasks {
+			t.Errorf("the loss of 100 of %d machines visits %d", machines, looked)
+		}
+	}
+	got := batches([]cloud.Wish{{Build: "b", Yard: "x", Count: 120}, {Build: "b", Yard: "y", Loaned: true, Count: 70}}, 4)
+	want := []cloud.Wish{{Build: "b", Yard: "x", Count: 50}, {Build: "b", Yard: "x", Count: 50}, {Build: "b", Yard: "x", Count: 20}, {Build: "b", Yard: "y", Loaned: true, Count: 50}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Every transaction may be applied by the store, answered, and arrive again:
+// nothing that users were told, and nobody's lead, changes by it.
+func TestRepeatedTransactionsChangeNothing(t *testing.T) {
+	s, n, g, w := alone(t)
+	s.submit(n, spec("j-1", nil))
+	s.submit(n, spec("j-2", nil))
+	s.submit(n, spec("j-3", nil))
+	s.resync(g)
+	s.settle(g)
+	w.End("j-1/0", wire.CauseDone)
+	beat(t, g, w)
+	s.settle(g)
+	if code, _, _ := s.ask(n, "POST", wire.PathRuns+"/j-2/"+wire.SuffixAbort, nil); code != 200 {
+		t.Fatalf("abort: %d", code)
+	}
+	if _, err := n.el.Raise(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	type told struct {
+		keys   []string
+		status []string
+		lead   uint64
+	}
+	look := func() (is told) {
+		is.keys = s.state.Keys("")
+		for _, uid := range []string{"j-1", "j-2", "j-3"} {
+			_, v, _ := s.ask(n, "GET", wire.PathRuns+"/"+uid, nil)
+			is.status = append(is.status, v.Status)
+		}
+		var rec store.WarrantRecord
+		s.state.Value(store.KeyWarrant, &rec)
+		is.lead = rec.Warrant
+		return is
+	}
+	before := look()
+	s.state.Repeat()
+	if diff := cmp.Diff(before, look(), cmp.AllowUnexported(told{})); diff != "" {
+		t.Error(diff)
+	}
+	if code, v, _ := s.ask(n, "POST", wire.PathRuns, spec("j-2", nil)); code != 200 || v.Status != wire.JobCancelled {
+		t.Errorf("a submission that comes again after the abort: %d %+v", code, v)
+	}
+	if _, ok := n.el.MayAnswer(); !ok {
+		t.Error("the lead was lost")
+	}
+}
--- a/step.go
+++ b/step.go
@@ -272,10 +272,12 @@
 	g.mu.Lock()
 	warrant, may := g.el.MayOrder()
 	due := may && (g.raisedAt == 0 || now-g.raisedAt > 4*clock.Second) && g.fl.Doubts(now, warrant) > 0
-	// Each raise costs a beat of every worker, and what waits takes but a line in its reports.
-	if may && !due && now-max(g.raisedAt, g.r.Since) > clock.FromSeconds(g.cfg.Facts.Workers.LeaseS) && now-g.repeatsAt > clock.Second {
+	// A worker tells of a new warrant at once, but not again within half a lease, so
+	// raising it often would keep a next leader from being told of its own; and what
+	// waits takes but a line in the reports, as long as it is not too many.
+	if now-g.repeatsAt > clock.Second && may && !due && now-g.raisedAt > 4*clock.Second {
 		g.repeatsAt = now
-		due = g.fl.Repeats(warrant)
+		due = g.fl.Crowded() || now-max(g.raisedAt, g.r.Since) > 2*clock.FromSeconds(g.cfg.Facts.Workers.LeaseS) && g.fl.Repeats(warrant)
 	}
 	if due {
 		g.raisedAt = now
