Slack by the class's aims too: long jobs are not put off for longer than their class may wait

Cause: deadlines come from estimates, so a long job has much slack and was put off in bursts beyond 120 s to begin and 180 s to be done, which the class's aims state. Ruled out: more ordinary machines (tried, too dear). Test: TestSlackFollowsAims.

--- a/engine.go
+++ b/engine.go
@@ -67,6 +67,10 @@
 	running   int  // tasks now running
 	spared    bool // waited long before any task began: the first ones are not preempted
 	pj        *plan.Job
+	// Counted from its submission: when it is due and by when jobs of its class
+	// should be done, zero where nothing is said, and by when their tasks should
+	// have begun, noSlack where nothing is said.
+	due, finish, begin clock.Micros
 }
 
 // runStat is what is known of how long a job's tasks run.
@@ -430,6 +434,23 @@
 // planJob is the job as the planner sees it; its counts follow the bookings.
 func (g *reign) planJob(j *job) *plan.Job {
 	s := &j.spec
+	j.begin = noSlack
+	if s.DueS != nil {
+		j.due = clock.FromSeconds(*s.DueS)
+	}
+	// Starts within a moment are a matter of free room, not of order.
+	const moment = 3
+	for _, o := range g.cfg.Facts.Objectives {
+		if o.Class != s.Lane || j.standing() {
+			continue
+		}
+		switch at := clock.FromSeconds(o.WithinS); {
+		case o.Kind == "finished" && (j.finish == 0 || at < j.finish):
+			j.finish = at
+		case o.Kind == "wait" && o.WithinS > moment*g.cfg.Facts.Workers.ReportS:
+			j.begin = min(j.begin, at)
+		}
+	}
 	within := 0.0
 	for _, o := range g.cfg.Facts.Objectives {
 		if o.Kind == "wait" && o.Class == s.Lane && (within == 0 || o.WithinS < within) {
--- a/engine_test.go
+++ b/engine_test.go
@@ -951,3 +951,33 @@
 		t.Errorf("still held: %+v", need)
 	}
 }
+
+// A long job whose own deadline is far must not wait for longer than its class may.
+func TestSlackFollowsAims(t *testing.T) {
+	s := newSite(t)
+	n := s.node(func(f *config.Facts) {
+		f.Objectives = []config.Objective{{Kind: "finished", Class: "lane", WithinS: 180}, {Kind: "wait", Class: "lane", WithinS: 120},
+			{Kind: "wait", Class: "lane", WithinS: 3}}
+	})
+	g, _ := s.elect(n)
+	due := func(d float64) *float64 { return &d }
+	for _, tt := range []struct {
+		lane   string
+		due    *float64
+		expect float64
+		want   clock.Micros
+	}{
+		{"lane", due(64), 18, 46 * clock.Second},
+		{"lane", due(310), 100, 80 * clock.Second},
+		{"lane", due(190), 30, 120 * clock.Second},
+		{"lane", nil, 30, 120 * clock.Second},
+		{"other", due(310), 100, 210 * clock.Second},
+		{"other", nil, 100, noSlack},
+	} {
+		j := &job{spec: spec("j-1", func(sp *wire.Spec) { sp.Lane, sp.DueS, sp.ExpectS = tt.lane, tt.due, tt.expect })}
+		g.planJob(j)
+		if got := j.slack(0); got != tt.want {
+			t.Errorf("%s due %v, expected to run %v s: slack %v, want %v", tt.lane, tt.due, tt.expect, got, tt.want)
+		}
+	}
+}
--- a/picture.go
+++ b/picture.go
@@ -158,10 +158,7 @@
 		pj := j.pj
 		pj.Started, pj.Left = j.started, len(j.pieces)-j.done
 		pj.Aged = !j.standing() && !j.started && clock.Micros(j.at)+agedAfter < wall
-		if j.spec.DueS != nil {
-			left := clock.Micros(j.at) + clock.FromSeconds(*j.spec.DueS) - wall
-			pj.Slack = max(0, left-clock.FromSeconds(j.spec.ExpectS))
-		}
+		pj.Slack = j.slack(wall)
 		p.Waiting = append(p.Waiting, plan.Waiting{Job: pj, Indexes: idx, Lost: lost})
 	}
 	// The planner's order has no ties, so that of the map does not matter.
@@ -171,6 +168,23 @@
 	return p
 }
 
+// slack is the time left in which the job's tasks must start to meet its
+// deadline and what its class is expected to keep. Without the latter, a long
+// job with much time until its own deadline would be put off for longer than
+// any of its class should wait.
+func (j *job) slack(wall clock.Micros) clock.Micros {
+	begin := j.begin
+	for _, end := range []clock.Micros{j.due, j.finish} {
+		if end > 0 {
+			begin = min(begin, end-clock.FromSeconds(j.spec.ExpectS))
+		}
+	}
+	if begin == noSlack {
+		return noSlack
+	}
+	return max(0, clock.Micros(j.at)+begin-wall)
+}
+
 // entitle marks the jobs that fit into their team's guarantee together with
 // the team's earlier ones, where there are guarantees at all, once a second.
 func (g *reign) entitle(now clock.Micros) {
