A rate fades as the pause grows, and ends when all is done and nothing comes

Now what is likely goes with the length of the pause, and is nothing once all work is done and the pause is five times the usual. Test: TestRateFadesAsNothingComes.

--- a/sizing.go
+++ b/sizing.go
@@ -291,7 +291,7 @@
 		}
 	}
 	headroom := spread(rate.Cores, square, f.Headroom)
-	fade := g.fading(recent, now, window)
+	fade := g.fading(recent, now, window, all.Cores == 0)
 	span := window.Seconds()
 	if g.seeded == (cloud.Load{}) {
 		span = min(span, span/2+age)
@@ -301,8 +301,7 @@
 		rate.RAM += g.seeded.RAM * (span - age)
 		rate.Accel += g.seeded.Accel * (span - age)
 	}
-	span /= fade
-	rate = cloud.Load{Cores: rate.Cores / span, RAM: rate.RAM / span, Accel: rate.Accel / span}
+	rate = cloud.Load{Cores: rate.Cores * fade / span, RAM: rate.RAM * fade / span, Accel: rate.Accel * fade / span}
 	g.rate = rate
 	need.Loaned, need.Pressing = rate, pressing
 	need.Loaned.Cores *= 1 + headroom
@@ -380,14 +379,22 @@
 
 // fading is the share of the rate seen over the window that the last short
 // while still bears out: one, unless clearly fewer jobs came in it than at that
-// rate. When work stops coming, the machines for it can go soon. The caller holds mu.
-func (g *reign) fading(recent int, now, window clock.Micros) float64 {
-	if now-g.r.Since < window || len(g.arrivals) == 0 {
+// rate. When work stops coming, the machines for it can go soon; and once all of
+// it is done, and none has come for several times as long as usual, at once.
+// The caller holds mu.
+func (g *reign) fading(recent int, now, window clock.Micros, done bool) float64 {
+	seen := len(g.arrivals)
+	if now-g.r.Since < window || seen == 0 {
 		return 1
 	}
+	last := g.arrivals[seen-1].at
+	quiet := now - last
+	if usual := (last - g.arrivals[0].at) / clock.Micros(max(1, seen-1)); done && seen >= 5 && quiet > max(recently, 5*usual) {
+		return 0
+	}
 	n := float64(recent)
-	likely := (n + 2*math.Sqrt(n) + 2) / recently.Seconds()
-	return max(0.05, min(1, likely*window.Seconds()/float64(len(g.arrivals))))
+	likely := (n + 2*math.Sqrt(n) + 2) / max(recently, quiet).Seconds()
+	return max(0.02, min(1, likely*window.Seconds()/float64(seen)))
 }
 
 // keepDemand records the rate of arriving work, so that a new leader does not
