--- a/cmd/cedardoor/main.go
+++ b/cmd/cedardoor/main.go
@@ -96,9 +96,13 @@
 	root.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check settings files without starting anything", Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if _, _, err := load(); err != nil {
+			p, _, err := load()
+			if err != nil {
 				return err
 			}
+			for _, w := range p.Tight() {
+				fmt.Fprintln(c.OutOrStdout(), "tight:", w)
+			}
 			fmt.Fprintln(c.OutOrStdout(), "settings are valid")
 			return nil
 		},
--- a/engine.go
+++ b/engine.go
@@ -138,6 +138,7 @@
 	replicas int                     // that may be anywhere
 	probed   map[string]clock.Micros // machines asked because of an old report, and when
 	deaf     int                     // machines banned as deaf
+	proofs   []proof                 // machines that have reported but are not trusted yet, oldest first
 	mute     map[*fleet.Machine]bool // silent machines that answered no question
 	catalog  wire.Catalog
 	catStamp uint64
@@ -744,6 +745,8 @@
 	}
 	if m.Suspect {
 		g.ask(m)
+	} else if !m.Beaten {
+		g.proofs = append(g.proofs, proof{m, now})
 	}
 	if m.Beaten {
 		delete(g.unheard, m)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -603,8 +603,8 @@
 //
 // A late copy can be the first report that a new leader sees, or the first
 // after a long silence. So a machine is trusted only once it has shown a
-// warrant of this reign, which no copy made before it can, and after a silence
-// only once it has answered a question (see Answers).
+// warrant of this reign, which no copy made before it can, or has answered a
+// question (see Answers); after a silence, only the latter will do.
 func (f *Fleet) heard(m *Machine, now clock.Micros) {
 	if m.Beaten && now-m.LastBeat > 2*f.report && !m.Suspect {
 		m.Suspect = true
@@ -613,6 +613,12 @@
 	if m.Suspect || m.Warrant < f.first {
 		return
 	}
+	f.trust(m, now)
+}
+
+// trust notes that a machine is there now: it has shown a warrant of this
+// reign, or answered a question of it.
+func (f *Fleet) trust(m *Machine, now clock.Micros) {
 	if !m.Beaten {
 		m.Beaten = true
 		f.touch(m)
@@ -640,7 +646,8 @@
 	if m == nil {
 		return nil
 	}
-	if rep.Tenure < known.Tenure || rep.Tenure == known.Tenure && rep.Tally <= known.Tally {
+	anew := rep.Tenure < known.Tenure || rep.Tenure == known.Tenure && rep.Tally <= known.Tally
+	if anew {
 		m.Each(func(b *Booking) {
 			if b.copiesOut() {
 				return
@@ -665,7 +672,11 @@
 		m.Suspect = false
 		f.touch(m)
 	}
-	f.heard(m, now)
+	if anew {
+		f.heard(m, now) // trusted once it knows the warrant, so that old commands are void
+	} else {
+		f.trust(m, now)
+	}
 	return append(news, more...)
 }
 
--- a/rules_test.go
+++ b/rules_test.go
@@ -36,6 +36,30 @@
 	return ans
 }
 
+// A worker tells of a new warrant at once, but not twice within half a lease.
+// Where leaders change faster, it is asked, so that it need not stand idle until
+// its next regular report.
+func TestWorkerThatKeepsTheWarrantToItself(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	rep := w.Report()
+	ans, _ := g.Beat(&rep)
+	w.Take(ans)
+	s.submit(n, spec("j-1", nil))
+	s.resync(g)
+	s.settle(g)
+	if s.usable(g, "n-1") || len(w.Starts()) != 0 {
+		t.Fatal("trusted on a report that may be a copy")
+	}
+	s.advance(time.Second)
+	s.settle(g)
+	if !s.usable(g, "n-1") || len(w.Starts()) != 1 {
+		t.Errorf("not trusted after its answer to a question; started %v", w.Starts())
+	}
+}
+
 // Runs or stays known: after refusals, an outage and a change of leaders have
 // ended, each accepted job is answered for by every node, and runs.
 func TestEveryJobIsAnsweredForAfterTroubles(t *testing.T) {
--- a/silent.go
+++ b/silent.go
@@ -164,6 +164,29 @@
 	return found
 }
 
+// proof is a machine whose first report was no proof that it is there now.
+type proof struct {
+	m  *fleet.Machine
+	at clock.Micros
+}
+
+// proofAfter is how long its next report is waited for: a worker tells of a new
+// warrant after half a second, but only once in half a lease, and where leaders
+// or warrants change often that would leave it untrusted until its next regular one.
+const proofAfter = 800 * clock.Millisecond
+
+// prove asks the workers that have not shown the warrant they were told. The
+// caller holds mu.
+func (g *reign) prove(now clock.Micros) {
+	for len(g.proofs) > 0 && now-g.proofs[0].at >= proofAfter && g.probes < g.socks.probes {
+		m := g.proofs[0].m
+		g.proofs = g.proofs[1:]
+		if !m.Beaten && g.fl.Machine(m.Name) == m {
+			g.ask(m)
+		}
+	}
+}
+
 // askOld asks a worker whose report is older than what is known of it, now and
 // then: only its answer tells a late copy from a new process that counts from
 // the start again. The caller holds mu.
--- a/step.go
+++ b/step.go
@@ -42,6 +42,7 @@
 	now := g.ck.Now()
 	g.news(g.fl.Expire(now), now)
 	g.hush(now)
+	g.prove(now)
 	if _, may := g.el.MayOrder(); may {
 		g.plan(now)
 	}
