Questions lost in a surge don't make a worker that reports count as mute

Cause, found by reading: a new leader that asks workers for proof may be too short of its processor share to hear their answers in 0.7 s; two such questions would have counted a worker that reports as silent, and its machine, which holds replicas, could have been returned. A question that is lost counts against nobody whose beat came within a report interval. Test, seen to fail: TestQuestionsLostInASurgeReturnNothing.

--- a/rules_test.go
+++ b/rules_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// A new leader that asks for such proof may be too busy to hear the answers:
+// workers that report are not mute for that, and are not returned.
+func TestQuestionsLostInASurgeReturnNothing(t *testing.T) {
+	const machines = 12
+	s, g := adopted(t, machines, 2)
+	for tally := uint64(1); tally < 5; tally++ {
+		for i := range machines {
+			rep := report(i, 2, tally, 0)
+			rep.Endpoint = "127.0.0.1:1" // nothing answers there
+			if _, ok := g.Beat(rep); !ok {
+				t.Fatal("not answered")
+			}
+		}
+		s.advance(time.Second)
+		s.settle(g)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.proofs) != 0 || len(g.mute) != 0 {
+		t.Errorf("%d workers wait to be asked and %d that report count as mute", len(g.proofs), len(g.mute))
+	}
+	if got := s.cloud.Returns(); len(got) != 0 {
+		t.Errorf("returned %v", got)
+	}
+}
+
 // Runs or stays known: after refusals, an outage and a change of leaders have
 // ended, each accepted job is answered for by every node, and runs.
 func TestEveryJobIsAnsweredForAfterTroubles(t *testing.T) {
--- a/silent.go
+++ b/silent.go
@@ -225,8 +225,8 @@
 	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
 	case err == nil && rep.Host == m.Name:
 		g.news(g.fl.Answers(now, known, rep), now)
-	case now-m.LastBeat < report && !m.Suspect:
-		// It reports: only this question was lost.
+	case now-m.LastBeat < report && !m.Suspect, !m.Beaten && !m.Suspect && now-m.AnsweredAt < report:
+		// It reports, trusted or not yet: only this question was lost.
 	default:
 		if m.Mute++; m.Mute >= muteAfter {
 			g.mute[m] = true
