--- a/picture.go
+++ b/picture.go
@@ -171,17 +171,16 @@
 // slack is the time left in which the job's tasks must start to meet its
 // deadline and what its class is expected to keep. Without the latter, a long
 // job with much time until its own deadline would be put off for longer than
-// any of its class should wait.
+// any of its class should wait. Where jobs have no deadlines, the first come
+// goes first: by the class's aims, long jobs would go before short ones.
 func (j *job) slack(wall clock.Micros) clock.Micros {
-	begin := j.begin
-	for _, end := range []clock.Micros{j.due, j.finish} {
-		if end > 0 {
-			begin = min(begin, end-clock.FromSeconds(j.spec.ExpectS))
-		}
-	}
-	if begin == noSlack {
+	if j.due == 0 {
 		return noSlack
 	}
+	begin := min(j.begin, j.due-clock.FromSeconds(j.spec.ExpectS))
+	if j.finish > 0 {
+		begin = min(begin, j.finish-clock.FromSeconds(j.spec.ExpectS))
+	}
 	return max(0, clock.Micros(j.at)+begin-wall)
 }
 
