Jobs on trial: what fails everywhere bans no machine and costs a try now and then

Cause: a failure counted against its machine unless the job had failed on another before, so two bad jobs that met on a machine, or two tasks of one, banned a healthy one; each task of a bad job was retried by itself, with image, records and a start, for as long as the job stayed; and the machines for it went on being rented until its tasks had failed on four. Change: the job is on trial instead. After its first failure it tries one task at a time, away from the machines that failed it, until one succeeds or has clearly outlasted those that failed (then the machines are at fault, and two strikes ban one) or three machines have failed it and nothing of it is out (then it is bad: its strikes are taken back, nothing is rented or kept for it, and tries grow apart to a minute). A machine that several unjudged jobs failed on rests for 6 s. A new leader tries one task first of a job all of whose attempts ended without a result.

--- a/engine.go
+++ b/engine.go
@@ -61,7 +61,7 @@
 	done      int
 	chunks    []chunk
 	started   bool
-	failedOn  map[string]bool // machines on which tasks of it failed
+	trial     trial // what its tasks' failures tell of it
 	ran       runStat
 	counted   bool // its work is among the arrivals
 	running   int  // tasks now running
@@ -120,15 +120,16 @@
 	loaded   bool
 	fl       *fleet.Fleet
 	jobs     map[string]*job
-	dirty    map[string]bool         // jobs with something to record now
-	lazy     map[string]clock.Micros // jobs with results to record, and by when
-	queue    map[*job]bool           // jobs with tasks that wait
-	pic      *plan.Picture           // kept up to date from what was touched
-	touched  map[*fleet.Machine]bool // machines that the picture is behind on
-	toTell   map[*fleet.Machine]bool // machines with orders that should not wait for a beat
-	unheard  map[*fleet.Machine]bool // recorded by a predecessor, and silent since
-	holds    map[string]string       // machines whose room is kept for a job
-	fresh    bool                    // jobs came that no plan has seen
+	dirty    map[string]bool                 // jobs with something to record now
+	lazy     map[string]clock.Micros         // jobs with results to record, and by when
+	queue    map[*job]bool                   // jobs with tasks that wait
+	pic      *plan.Picture                   // kept up to date from what was touched
+	touched  map[*fleet.Machine]bool         // machines that the picture is behind on
+	toTell   map[*fleet.Machine]bool         // machines with orders that should not wait for a beat
+	strikes  map[*fleet.Machine]map[*job]int // failures since anything was done there, by job
+	unheard  map[*fleet.Machine]bool         // recorded by a predecessor, and silent since
+	holds    map[string]string               // machines whose room is kept for a job
+	fresh    bool                            // jobs came that no plan has seen
 	hushAt   clock.Micros
 	probedAt clock.Micros
 	ctx      context.Context // the reign's, for questions that a report raises; nil before it runs
@@ -178,6 +179,7 @@
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
+		strikes: map[*fleet.Machine]map[*job]int{},
 		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
 	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
@@ -331,7 +333,7 @@
 		j := g.jobs[uid]
 		if j == nil {
 			// Over, but its tasks were not all known to be gone.
-			j = &job{uid: uid, spec: left[uid], cancelled: true, failedOn: map[string]bool{}}
+			j = &job{uid: uid, spec: left[uid], cancelled: true}
 			j.pj = g.planJob(j)
 			g.jobs[uid] = j
 		}
@@ -391,6 +393,10 @@
 		if j.done == len(j.pieces) {
 			g.dirty[j.uid] = true
 		}
+		// What a predecessor knew of a job that fails everywhere went with it: one all
+		// of whose attempts are over without any result is tried with one task first.
+		j.trial.good = j.done > 0
+		j.trial.wary = j.started && j.done == 0 && len(j.waiting) == len(j.pieces)
 	}
 	g.loaded = true
 	g.log.Info("records loaded", "jobs", len(jobs), "chunks", len(chunks), "epoch", epoch, "took_s", (g.ck.Now() - began).Seconds())
@@ -420,8 +426,7 @@
 	rank, _ := wire.RankOf(s.Rank)
 	j := &job{uid: s.UID, spec: s, rank: rank, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
 		pieces: make([]piece, s.Pieces), waiting: make([]int, s.Pieces),
-		chunks:   make([]chunk, (s.Pieces+store.ChunkPieces-1)/store.ChunkPieces),
-		failedOn: map[string]bool{}}
+		chunks: make([]chunk, (s.Pieces+store.ChunkPieces-1)/store.ChunkPieces)}
 	for i := range j.waiting {
 		j.waiting[i] = i
 	}
@@ -545,6 +550,7 @@
 	j.cancelled = true
 	j.waiting = nil
 	delete(g.queue, j)
+	g.acquit(j)
 	for i := range j.pieces {
 		pc := &j.pieces[i]
 		if pc.target != nil {
@@ -631,7 +637,11 @@
 		if j.done == len(j.pieces) {
 			g.dirty[j.uid] = true
 		}
-		m.Strikes = 0
+		delete(g.strikes, m)
+		if j.trial.doubtful() {
+			g.works(j)
+		}
+		j.trial.good = true
 		// The start of an adopted attempt was not seen: it would look short, and
 		// every other machine slow beside it.
 		if b.Running > 0 && !b.Adopted {
@@ -642,7 +652,11 @@
 	g.log.Debug("task ended", "piece", b.Piece.String(), "try", b.Try, "cause", cause, "host", m.Name, "halt", b.Halt)
 	switch cause {
 	case wire.CauseError:
-		g.failed(j, pc, m, now)
+		ran := clock.Micros(0)
+		if b.Running > 0 {
+			ran = now - b.Running
+		}
+		g.failed(j, pc, m, ran, now)
 	case wire.CauseFull, wire.CauseInUse, wire.CauseAlone:
 		pc.notBefore = now + clock.Second
 	case wire.CauseNoSuch:
@@ -676,26 +690,6 @@
 	return min(60*clock.Second, clock.Second<<min(n, 6))
 }
 
-// failed tells a bad job from a bad machine: a job that fails on machines that
-// other jobs succeed on is bad and is retried ever more slowly; a machine on
-// which several tasks fail in a row is sick and is emptied.
-func (g *reign) failed(j *job, pc *piece, m *fleet.Machine, now clock.Micros) {
-	pc.fails++
-	elsewhere := len(j.failedOn) > 1 || len(j.failedOn) == 1 && !j.failedOn[m.Name]
-	j.failedOn[m.Name] = true
-	if elsewhere && j.done == 0 && j.ran.n == 0 {
-		pc.notBefore = now + backoff(len(j.failedOn)+pc.fails)
-		return
-	}
-	m.Strikes++
-	if m.Strikes >= 2 && m.Banned == "" {
-		m.Banned = "sick"
-		g.touched[m] = true
-		g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", m.Strikes)
-	}
-	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(pc.fails)
-}
-
 // observe compares a task's run time with its job's others, to find slow machines.
 func (g *reign) observe(j *job, m *fleet.Machine, took clock.Micros) {
 	if j.ran.n >= 3 && j.ran.mean() > 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,29 +96,29 @@
 	Accel    float64
 	RAM      float64
 
-	Tenure     uint64
-	Tally      uint64
-	Warrant    uint64       // highest the worker has reported
-	Beaten     bool         // has reported under this reign
-	LastBeat   clock.Micros // received
-	AnsweredAt clock.Micros // when a beat of it was last answered, copies included
-	LeaseEnd   clock.Micros // its tasks of Tenure are dead after this without another answer
-	WarnUntil  clock.Micros // spot notice: gone by then; zero when none
-	Listed     string       // status in the cloud's list; empty when not listed
-	ListedAt   clock.Micros
-	FirstSeen  clock.Micros
-	IdleFrom   clock.Micros // since when nothing is booked; zero when something is
-	Returning  bool         // a return was asked for
-	Banned     string       // why repair must empty it; empty when not banned
-	Cordoned   bool         // gets nothing new, is to be returned when empty
-	Strikes    int          // errors in a row
-	Probing    bool         // is being asked why it is silent
-	Mute       int          // such questions in a row without an answer
-	Unheard    int          // signs in a row that what it is told takes no effect
-	Suspect    bool         // was silent: one report does not make it trusted again
-	Hushed     bool         // among the silent ones
-	Slow       float64      // observed run time against other machines'; 1 is usual
-	SlowN      int
+	Tenure       uint64
+	Tally        uint64
+	Warrant      uint64       // highest the worker has reported
+	Beaten       bool         // has reported under this reign
+	LastBeat     clock.Micros // received
+	AnsweredAt   clock.Micros // when a beat of it was last answered, copies included
+	LeaseEnd     clock.Micros // its tasks of Tenure are dead after this without another answer
+	WarnUntil    clock.Micros // spot notice: gone by then; zero when none
+	Listed       string       // status in the cloud's list; empty when not listed
+	ListedAt     clock.Micros
+	FirstSeen    clock.Micros
+	IdleFrom     clock.Micros // since when nothing is booked; zero when something is
+	Returning    bool         // a return was asked for
+	Banned       string       // why repair must empty it; empty when not banned
+	Cordoned     bool         // gets nothing new, is to be returned when empty
+	FailingUntil clock.Micros // gets nothing new before: several jobs failed on it, and it is not clear yet which is at fault
+	Probing      bool         // is being asked why it is silent
+	Mute         int          // such questions in a row without an answer
+	Unheard      int          // signs in a row that what it is told takes no effect
+	Suspect      bool         // was silent: one report does not make it trusted again
+	Hushed       bool         // among the silent ones
+	Slow         float64      // observed run time against other machines'; 1 is usual
+	SlowN        int
 
 	UsedCores float64
 	UsedAccel float64
--- a/picture.go
+++ b/picture.go
@@ -12,7 +12,7 @@
 
 // usable tells whether a machine may be given tasks.
 func (g *reign) usable(m *fleet.Machine, now clock.Micros) bool {
-	return m.Beaten && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0
+	return m.Beaten && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && m.FailingUntil <= now
 }
 
 // judge bans a machine that has a notice, is slow or does not hear, and lifts
@@ -58,6 +58,7 @@
 		}
 		delete(g.toTell, m)
 		delete(g.unheard, m)
+		delete(g.strikes, m)
 		return false
 	}
 	g.judge(m)
@@ -81,6 +82,7 @@
 			pm.Images[b] = plan.ImageHeld
 		}
 	}
+	again = m.FailingUntil > now // looked at again when that is over
 	pm.StopCores, pm.StopAccel, pm.StopRAM = 0, 0, 0
 	pm.Lower = pm.Lower[:0]
 	m.Each(func(b *fleet.Booking) {
@@ -140,9 +142,15 @@
 			delete(g.queue, j)
 			continue
 		}
-		idx := make([]int, 0, min(len(j.waiting), perPass))
+		tries := j.waiting
+		pj := j.pj
+		if pj.Probe = j.trial.doubtful(); pj.Probe {
+			tries = g.mayTry(j, now)
+			pj.Probe = j.trial.doubtful()
+		}
+		idx := make([]int, 0, min(len(tries), perPass))
 		lost := false
-		for _, i := range j.waiting {
+		for _, i := range tries {
 			if j.pieces[i].notBefore > now {
 				continue
 			}
@@ -155,9 +163,8 @@
 		if len(idx) == 0 {
 			continue
 		}
-		pj := j.pj
 		pj.Started, pj.Left = j.started, len(j.pieces)-j.done
-		pj.Aged = !j.standing() && !j.started && clock.Micros(j.at)+agedAfter < wall
+		pj.Aged = !j.standing() && !j.started && !pj.Probe && clock.Micros(j.at)+agedAfter < wall
 		pj.Slack = j.slack(wall)
 		p.Waiting = append(p.Waiting, plan.Waiting{Job: pj, Indexes: idx, Lost: lost})
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -78,14 +78,16 @@
 	SamePlace, Apart  bool
 	Loaned            bool
 	Bundle            string
-	Entitled          bool         // within its team's guarantee
-	Slack             clock.Micros // time left before it must start to meet its deadline
-	Order             int64        // acceptance order, ties of everything else
-	Started           bool         // some task was started before
-	Group             bool         // its tasks run only all together
-	Left              int          // tasks not done yet
-	Aged              bool         // has waited long without any task begun
-	Hold              string       // the machine whose room is kept for it, if any
+	Entitled          bool            // within its team's guarantee
+	Slack             clock.Micros    // time left before it must start to meet its deadline
+	Order             int64           // acceptance order, ties of everything else
+	Started           bool            // some task was started before
+	Group             bool            // its tasks run only all together
+	Left              int             // tasks not done yet
+	Aged              bool            // has waited long without any task begun
+	Probe             bool            // it may fail wherever it runs: a task tries, and nobody makes way for it
+	Shun              map[string]bool // machines that its tasks keep away from
+	Hold              string          // the machine whose room is kept for it, if any
 	ImageGB           float64
 	Within            clock.Micros // in which its tasks should start; zero when nothing is said
 
@@ -262,14 +264,14 @@
 	j := w.Job
 	for n, index := range w.Indexes {
 		m := pl.target(j, "", nil)
-		if last && m != nil && pl.Preempt && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
+		if last && m != nil && pl.Preempt && !j.Probe && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
 			// Only cold machines have room: waiting for an image costs an urgent task
 			// more than a little lost work costs the one that makes way.
 			pl.out.Unplaced[j.UID]++
 			continue
 		}
 		if m == nil {
-			if last && pl.Preempt && pl.makeRoom(j, false) {
+			if last && pl.Preempt && !j.Probe && pl.makeRoom(j, false) {
 				// Its room is on the way; it is claimed so that nobody else takes it.
 				pl.out.Unplaced[j.UID]++
 				continue
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -27,7 +27,7 @@
 
 // Rules is every hard rule that a placement must keep.
 func Rules() []Rule {
-	return []Rule{Ban{}, Held{}, AllowedType{}, AllowedZone{}, AllowedKind{}, ZoneCap{}, OneZone{}, TeamLimit{}}
+	return []Rule{Ban{}, Shun{}, Held{}, AllowedType{}, AllowedZone{}, AllowedKind{}, ZoneCap{}, OneZone{}, TeamLimit{}}
 }
 
 // Ban bars tasks from machines that do not report, are sick or are to be emptied.
@@ -38,6 +38,12 @@
 	return m.Usable && m.Banned == "" && !m.Cordoned
 }
 
+// Shun keeps a job's tasks off the machines on which one of them has failed.
+type Shun struct{}
+
+// Allows implements Rule.
+func (Shun) Allows(_ *Picture, j *Job, m *Machine) bool { return !j.Shun[m.Name] }
+
 // Held keeps the room of a machine for the job that has waited too long for it.
 type Held struct{}
 
--- a/sizing.go
+++ b/sizing.go
@@ -19,6 +19,7 @@
 	at   clock.Micros
 	work cloud.Load
 	old  bool // was there when the first leader began
+	job  *job
 }
 
 // peak is what was needed at one moment.
@@ -232,8 +233,8 @@
 			continue
 		}
 		s := &j.spec
-		if len(j.failedOn) > 3 && j.done == 0 {
-			continue // a bad job: it is retried, but nothing is rented for it
+		if j.trial.bad {
+			continue // it is tried now and then, but nothing is rented for it
 		}
 		running := 0
 		for i := range j.pieces {
@@ -259,7 +260,7 @@
 			var l cloud.Load
 			add(&l, run*float64(len(j.pieces)))
 			first := g.seeded == (cloud.Load{}) && now-g.r.Since < firstLook
-			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first})
+			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first, job: j})
 		}
 		drain, patient := g.drains(j, run)
 		left := (float64(waiting) + float64(running)/2) * run
--- a/step.go
+++ b/step.go
@@ -113,6 +113,9 @@
 		b := g.booking(j, l.Task.Index, pc.try)
 		b.Tenure = m.Tenure
 		j.spared = j.spared || j.pj.Aged
+		if j.pj.Probe {
+			g.tried(j, now)
+		}
 		g.fl.Reserve(m, b, now)
 		pc.state, pc.booking = piecePlaced, b
 		j.touch(l.Task.Index)
--- /dev/null
+++ b/trial.go
@@ -0,0 +1,241 @@
+package cedardoor
+
+import (
+	"cedardoor/clock"
+	"cedardoor/fleet"
+	"cedardoor/wire"
+)
+
+// trial is what a job's own failures tell of it. A task may fail because its
+// machine is sick, or because the job was submitted with a mistake and fails
+// everywhere: one failure looks like the other. Neither the machine nor the job
+// is judged by a failure until the job has shown, elsewhere, which of them it is.
+type trial struct {
+	good    bool           // a task of it was done, or has run on longer than those that failed
+	bad     bool           // its tasks failed on several machines and succeeded on none
+	wary    bool           // a predecessor's attempts of it all ended without a result
+	faults  map[string]int // failures by machine
+	last    clock.Micros   // the last failure
+	ranFor  clock.Micros   // the longest that a task ran before it failed
+	probeAt clock.Micros   // the next task is tried then
+	probes  int
+	shunned []string // machines that the job failed on lately, oldest first
+}
+
+// doubtful tells whether the job has failed and never yet succeeded.
+func (t *trial) doubtful() bool { return !t.good && (t.wary || len(t.faults) > 0) }
+
+const (
+	// badOn is on how many machines a job must have failed, and succeeded on none,
+	// to be called bad: fewer may all be sick.
+	badOn = 3
+	// lastsFor is how long a task must run on, at least, to show that its job works.
+	lastsFor = 3 * clock.Second
+	// probeGap is how far apart the tries of a job in doubt are while others of its
+	// tasks have yet to show what they come to.
+	probeGap = 5 * clock.Second
+	// maxShunned is how many machines a job's tasks keep away from.
+	maxShunned = 8
+	// failingFor is how long a machine on which several jobs failed in a row gets
+	// nothing new, so that it does not swallow more until it is clear which is at fault.
+	failingFor = 6 * clock.Second
+)
+
+// failed takes in that a task of j failed on m after running for a while. The
+// caller holds mu.
+func (g *reign) failed(j *job, pc *piece, m *fleet.Machine, ran, now clock.Micros) {
+	t := &j.trial
+	pc.fails++
+	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(min(pc.fails, 25))
+	if t.faults == nil {
+		t.faults = map[string]int{}
+	}
+	t.faults[m.Name]++
+	t.last, t.ranFor = now, max(t.ranFor, ran)
+	g.shun(j, m.Name)
+	if t.bad {
+		return // it proves nothing against the machine
+	}
+	if g.strikes[m] == nil {
+		g.strikes[m] = map[*job]int{}
+	}
+	g.strikes[m][j]++
+	if t.good {
+		g.sicken(m)
+		return
+	}
+	if len(t.faults) == 1 && t.faults[m.Name] == 1 {
+		t.probeAt = pc.notBefore
+	}
+	if unclear := g.unclear(m); unclear >= 2 && m.Banned == "" {
+		m.FailingUntil = now + failingFor
+		g.touched[m] = true
+	}
+	g.weigh(j, now)
+}
+
+// shun keeps a job's next tasks off a machine on which one failed, while there
+// are others. The caller holds mu.
+func (g *reign) shun(j *job, host string) {
+	t := &j.trial
+	if j.pj.Shun[host] {
+		return
+	}
+	if j.pj.Shun == nil {
+		j.pj.Shun = map[string]bool{}
+	}
+	j.pj.Shun[host] = true
+	t.shunned = append(t.shunned, host)
+	for len(t.shunned) > min(maxShunned, g.fl.Reporting()/2) {
+		delete(j.pj.Shun, t.shunned[0])
+		t.shunned = t.shunned[1:]
+	}
+}
+
+// unclear counts the jobs that failed on a machine since anything was done on it
+// and that are not known to work elsewhere. The caller holds mu.
+func (g *reign) unclear(m *fleet.Machine) (n int) {
+	for j := range g.strikes[m] {
+		if !j.trial.good {
+			n++
+		}
+	}
+	return n
+}
+
+// sicken bans a machine on which tasks of jobs that work elsewhere failed twice
+// with no success between. The caller holds mu.
+func (g *reign) sicken(m *fleet.Machine) {
+	n := 0
+	for j, k := range g.strikes[m] {
+		if j.trial.good {
+			n += k
+		}
+	}
+	if n < 2 || m.Banned != "" || g.fl.Machine(m.Name) != m {
+		return
+	}
+	m.Banned = "sick"
+	g.touched[m] = true
+	g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", n)
+}
+
+// weigh judges a job in doubt by what has become of its tasks. The caller holds mu.
+func (g *reign) weigh(j *job, now clock.Micros) {
+	t := &j.trial
+	if !t.doubtful() {
+		return
+	}
+	if j.done > 0 || g.lasts(j, now) {
+		g.works(j)
+		return
+	}
+	j.prune()
+	if t.bad || len(t.faults) < badOn || len(j.waiting) < len(j.pieces) {
+		return
+	}
+	t.bad = true
+	t.probeAt = now + g.probePause(t)
+	g.acquit(j)
+	// Nothing is rented for tasks that fail.
+	for i := range g.arrivals {
+		if g.arrivals[i].job == j {
+			g.arrivals[i].work.Cores, g.arrivals[i].work.RAM, g.arrivals[i].work.Accel = 0, 0, 0
+		}
+	}
+	g.log.Info("job is bad: its tasks fail wherever they run", "job", j.uid, "machines", len(t.faults))
+}
+
+// lasts tells whether a task of j has run on for clearly longer than those that
+// failed. The caller holds mu.
+func (g *reign) lasts(j *job, now clock.Micros) bool {
+	if j.running == 0 {
+		return false
+	}
+	enough := max(lastsFor, 2*j.trial.ranFor+clock.Second)
+	for i := range j.pieces {
+		b := j.pieces[i].booking
+		if b != nil && b.Status == wire.PieceRunning && b.Running > 0 && !b.Ended && b.Machine.Beaten && b.Machine.LastBeat-b.Running > enough {
+			return true
+		}
+	}
+	return false
+}
+
+// works notes that a job can succeed: where it failed, the machines are at fault.
+// The caller holds mu.
+func (g *reign) works(j *job) {
+	t := &j.trial
+	if t.bad {
+		g.log.Info("job works after all", "job", j.uid)
+	}
+	t.good, t.bad, t.wary = true, false, false
+	for host := range t.faults {
+		if m := g.fl.Machine(host); m != nil {
+			g.sicken(m)
+		}
+	}
+	if len(j.waiting) > 0 {
+		g.queue[j] = true
+		g.fresh = true
+	}
+}
+
+// acquit takes back what a job's failures said of machines. The caller holds mu.
+func (g *reign) acquit(j *job) {
+	for host := range j.trial.faults {
+		m := g.fl.Machine(host)
+		if m == nil || g.strikes[m] == nil {
+			continue
+		}
+		delete(g.strikes[m], j)
+		if len(g.strikes[m]) == 0 {
+			delete(g.strikes, m)
+		}
+		if m.FailingUntil > 0 && g.unclear(m) < 2 {
+			m.FailingUntil = 0
+			g.touched[m] = true
+		}
+	}
+}
+
+// probePause is how long after one probe the next may go: soon while few
+// machines have been tried, ever more slowly once the job looks bad.
+func (g *reign) probePause(t *trial) clock.Micros {
+	if !t.bad {
+		return clock.Second
+	}
+	return min(60*clock.Second, probeGap<<min(t.probes, 4))
+}
+
+// mayTry lists what a job in doubt may try now: one task, on a machine that it
+// has not failed on, once those before have shown what they come to or have
+// taken long to. The caller holds mu.
+func (g *reign) mayTry(j *job, now clock.Micros) []int {
+	t := &j.trial
+	g.weigh(j, now)
+	if !t.doubtful() {
+		return j.waiting
+	}
+	out := len(j.pieces) - j.done - len(j.waiting)
+	if now < t.probeAt || out > 0 && now-t.last < probeGap {
+		return nil
+	}
+	if j.group() {
+		return j.waiting
+	}
+	for _, i := range j.waiting {
+		if j.pieces[i].notBefore <= now {
+			return []int{i}
+		}
+	}
+	return nil
+}
+
+// probed notes that a probe has been sent on its way. The caller holds mu.
+func (g *reign) tried(j *job, now clock.Micros) {
+	t := &j.trial
+	t.probes++
+	t.last = now
+	t.probeAt = now + g.probePause(t)
+}
--- /dev/null
+++ b/trial_test.go
@@ -0,0 +1,163 @@
+package cedardoor
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cedardoor/internal/standin"
+	"cedardoor/wire"
+)
+
+// crew is a leader with so many workers, on which the given jobs fail.
+func crew(t *testing.T, n int, bad ...string) (*site, *Service, *reign, []*standin.Worker) {
+	t.Helper()
+	s := newSite(t)
+	node := s.node(nil)
+	g, _ := s.elect(node)
+	var ws []*standin.Worker
+	for i := range n {
+		w := s.worker(fmt.Sprintf("n-%d", i+1), []string{"x", "y"}[i%2], true)
+		for _, uid := range bad {
+			w.FailJob(uid)
+		}
+		beat(t, g, w)
+		ws = append(ws, w)
+	}
+	return s, node, g, ws
+}
+
+// pass lets seconds go by, with a beat of every worker and a pass in each.
+func (s *site) pass(g *reign, ws []*standin.Worker, seconds int) {
+	s.t.Helper()
+	for range seconds {
+		s.advance(time.Second)
+		for _, w := range ws {
+			beat(s.t, g, w)
+		}
+		s.settle(g)
+	}
+}
+
+func banned(g *reign, ws []*standin.Worker) (out []string) {
+	for _, w := range ws {
+		if m := g.fl.Machine(w.Beats.Host); m.Banned != "" {
+			out = append(out, m.Name+" "+m.Banned)
+		}
+	}
+	return out
+}
+
+func startsOf(ws []*standin.Worker, uid string) (n int) {
+	for _, w := range ws {
+		for _, k := range w.Starts() {
+			if strings.HasPrefix(k, uid+"/") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Jobs submitted with a mistake fail wherever they run. Machines that have run
+// nothing else must not be taken for sick by them, and once a few machines have
+// been tried, a task now and then is all that they cost; one machine that is
+// truly sick is found all the same, whichever comes first.
+func TestBadJobsBesideASickMachine(t *testing.T) {
+	for _, badFirst := range []bool{true, false} {
+		s, n, g, ws := crew(t, 6, "j-1", "j-2")
+		ws[0].Fail(true)
+		bad := func() {
+			for _, uid := range []string{"j-1", "j-2"} {
+				s.submit(n, spec(uid, func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 100, 1, 1 }))
+			}
+			s.resync(g)
+			s.pass(g, ws, 8)
+		}
+		good := func() {
+			s.submit(n, spec("j-3", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM, sp.Rank = 12, 1, 1, "high" }))
+			s.resync(g)
+			s.pass(g, ws, 8)
+		}
+		if badFirst {
+			bad()
+			if got := banned(g, ws); len(got) > 0 {
+				t.Fatalf("banned for bad jobs: %v", got)
+			}
+			good()
+		} else {
+			good()
+			bad()
+		}
+		if got := banned(g, ws); len(got) != 1 || got[0] != "n-1 sick" {
+			t.Fatalf("bad jobs first: %t: banned %v, want n-1 alone", badFirst, got)
+		}
+		live := 0
+		for _, w := range ws[1:] {
+			live += len(w.Live())
+		}
+		if live != 12 {
+			t.Errorf("bad jobs first: %t: %d tasks of the good job run, want 12", badFirst, live)
+		}
+		before := startsOf(ws, "j-1") + startsOf(ws, "j-2")
+		s.pass(g, ws, 60)
+		if more := startsOf(ws, "j-1") + startsOf(ws, "j-2") - before; more < 2 || more > 16 {
+			t.Errorf("bad jobs first: %t: %d tries of two bad jobs in a minute, want a few", badFirst, more)
+		}
+		// They are known and can be cancelled.
+		for _, uid := range []string{"j-1", "j-2"} {
+			if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/"+uid, nil); v.Status != wire.JobQueued {
+				t.Errorf("%s: %+v, want queued", uid, v)
+			}
+			if code, v, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/"+uid+"/"+wire.SuffixAbort, nil); code != http.StatusOK || v.Status != wire.JobCancelled {
+				t.Errorf("abort of %s: %d %+v", uid, code, v)
+			}
+		}
+	}
+}
+
+// Nothing is rented for a job that fails everywhere, and no room kept.
+func TestBadJobsRentNothing(t *testing.T) {
+	s, n, g, ws := crew(t, 4, "j-1")
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 200, 4, 4 }))
+	s.resync(g)
+	s.pass(g, ws, 90)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.jobs["j-1"].trial.bad {
+		t.Fatalf("not found bad: %+v", g.jobs["j-1"].trial)
+	}
+	if need := g.demand(g.ck.Now()); need.Loaned.Cores > 0 || need.Pressing.Cores > 0 {
+		t.Errorf("needed for a bad job: %+v", need)
+	}
+	if len(g.holds) > 0 {
+		t.Errorf("room is kept for a bad job: %v", g.holds)
+	}
+}
+
+// A new leader does not know what its predecessor knew of a bad job: it tries
+// one task, not all of them at once.
+func TestBadJobAcrossLeaders(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	ga, stop := s.elect(a)
+	var ws []*standin.Worker
+	for i := range 4 {
+		w := s.worker(fmt.Sprintf("n-%d", i+1), "x", true)
+		w.FailJob("j-1")
+		beat(t, ga, w)
+		ws = append(ws, w)
+	}
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 100, 1, 1 }))
+	s.resync(ga)
+	s.pass(ga, ws, 10)
+	stop()
+	gb, _ := s.elect(b)
+	before := startsOf(ws, "j-1")
+	s.pass(gb, ws, 10)
+	if more := startsOf(ws, "j-1") - before; more < 1 || more > 8 {
+		t.Errorf("%d tries under a new leader, want a few", more)
+	}
+}
