--- a/api/api.go
+++ b/api/api.go
@@ -51,6 +51,7 @@
 	mu   sync.Mutex // guards the fields below
 	over map[string]store.OverRecord
 	jobs *view
+	in   *intake
 }
 
 // maxOver bounds the cache of final states, which never change.
@@ -160,6 +161,17 @@
 	refuse(w, http.StatusServiceUnavailable, 1, "try again")
 }
 
+// crowded answers at once that more is submitted than can be taken. Those that
+// are refused are told to come back at times spread out, the lowest rank later,
+// so that they are not all back together.
+func (u *Users) crowded(w http.ResponseWriter, rank string) {
+	after := 1 + rand.IntN(2)
+	if r, _ := wire.RankOf(rank); r == wire.RankLow {
+		after = 2 + rand.IntN(8)
+	}
+	refuse(w, http.StatusTooManyRequests, after, "too many submissions: try again")
+}
+
 // lookup reads what is durably known of a job. An unfinished job is looked for
 // before a finished one: a job moves only that way, in one transaction.
 func (u *Users) lookup(ctx context.Context, uid string) (job *wire.Row, over *store.OverRecord, err error) {
@@ -173,11 +185,19 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if found {
-		return &row, nil, nil
+	if !found {
+		over, err = u.finished(ctx, uid)
+		return nil, over, err
+	}
+	var kept store.JobRecord
+	if err := wire.Unmarshal(row.Value, &kept); err != nil {
+		return nil, nil, fmt.Errorf("record of %s: %w", uid, err)
+	}
+	if kept.Over != nil {
+		u.remember(uid, *kept.Over)
+		return nil, kept.Over, nil
 	}
-	over, err = u.finished(ctx, uid)
-	return nil, over, err
+	return &row, nil, nil
 }
 
 func (u *Users) remember(uid string, rec store.OverRecord) {
@@ -200,17 +220,28 @@
 	if cached {
 		return final(uid, &rec), nil
 	}
-	live, n, err := jobs.ask(ctx, uid)
+	at, n, err := jobs.ask(ctx, uid)
 	if err != nil {
 		return wire.View{}, err
 	}
-	if live {
+	if at == unfinished {
 		v := wire.View{UID: uid, Status: wire.JobQueued, Done: n[0], Running: n[1]}
 		if n[1] > 0 {
 			v.Status = wire.JobRunning
 		}
 		return v, nil
 	}
+	if at == settled {
+		// Over, in its record still or in its final place by now.
+		_, over, err := u.lookup(ctx, uid)
+		if err != nil {
+			return wire.View{}, err
+		}
+		if over == nil {
+			return wire.View{}, fmt.Errorf("record of %s: %w", uid, store.ErrBadAnswer)
+		}
+		return final(uid, over), nil
+	}
 	// Over, since a job leaves the unfinished ones only that way; or never accepted.
 	over, err := u.finished(ctx, uid)
 	if err != nil {
@@ -272,17 +303,18 @@
 		verdict, why = u.judge(ctx, &spec)
 	}
 	if verdict == http.StatusCreated {
-		rec := store.JobRecord{Spec: spec, AtUS: int64(u.Clock.Wall()), Node: u.Node}
-		err := u.commit(ctx, wire.Txn{
-			When:  []wire.When{{Path: store.JobKey(uid)}, {Path: store.OverKey(uid)}},
-			Apply: []wire.Apply{{Set: store.JobKey(uid), Value: rec}},
-		})
+		err := u.taking().accept(ctx, store.JobRecord{Spec: spec, AtUS: int64(u.Clock.Wall()), Node: u.Node})
 		if err == nil {
 			agent.Write(w, http.StatusCreated, wire.View{UID: uid, Status: wire.JobQueued})
 			return http.StatusCreated
 		}
 		var conflict *store.Conflict
-		if !errors.As(err, &conflict) {
+		switch {
+		case errors.As(err, &conflict):
+		case errors.Is(err, store.ErrBusy):
+			u.crowded(w, spec.Rank)
+			return http.StatusTooManyRequests
+		default:
 			u.unavailable(w, err)
 			return http.StatusServiceUnavailable
 		}
@@ -308,20 +340,14 @@
 	return verdict
 }
 
-// commit runs a transaction, again for a moment while the service only has too
-// much to do at once.
-func (u *Users) commit(ctx context.Context, txn wire.Txn) error {
-	for try := 0; ; try++ {
-		_, err := u.Store.Commit(ctx, store.Prompt, txn)
-		if err == nil || !errors.Is(err, store.ErrBusy) || try >= 4 {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-u.Clock.After(time.Duration(100+rand.IntN(200)) * time.Millisecond):
-		}
+// taking is where submissions are made durable.
+func (u *Users) taking() *intake {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.in == nil {
+		u.in = &intake{st: u.Store, ck: u.Clock}
 	}
+	return u.in
 }
 
 // judge tells whether a well-formed job can ever run.
@@ -425,7 +451,7 @@
 			return
 		}
 		rec := store.Over(&job.Spec, wire.JobCancelled, u.Node)
-		err = u.commit(ctx, wire.Txn{
+		err = tryBusy(ctx, u.Store, u.Clock, wire.Txn{
 			When:  []wire.When{{Path: store.JobKey(uid), Stamp: row.Stamp}},
 			Apply: []wire.Apply{{Delete: store.JobKey(uid)}, {Set: store.OverKey(uid), Value: rec}},
 		})
--- /dev/null
+++ b/api/intake.go
@@ -0,0 +1,172 @@
+package api
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+// intake makes submissions durable. Those that come while a transaction is under
+// way share the next, by rank, so that thousands of small jobs don't cost a
+// request each; and when more come than the state service takes changes, what
+// can't be taken is refused at once rather than kept waiting.
+type intake struct {
+	st *store.Client
+	ck *clock.Clock
+
+	mu    sync.Mutex // guards all below
+	queue []*entry
+	busy  bool
+}
+
+// entry is a submission that waits for its transaction.
+type entry struct {
+	rec  store.JobRecord
+	rank wire.Rank
+	size int
+	done chan error
+}
+
+const (
+	// maxBatch is how many submissions share a transaction, and maxBatchSize about
+	// how large one may become: well under the service's 64 KiB.
+	maxBatch     = 16
+	maxBatchSize = 40 << 10
+	// patience is how long a submission may wait for its turn, and lowPatience the
+	// same for one of the lowest rank: the others go before it.
+	patience    = 800 * time.Millisecond
+	lowPatience = 100 * time.Millisecond
+	// busyTries is how often a change is tried while the service has too much to do.
+	busyTries = 4
+)
+
+// accept makes a job durable. Its error is a *store.Conflict when the job is
+// known already, and store.ErrBusy when too many come.
+func (in *intake) accept(ctx context.Context, rec store.JobRecord) error {
+	rank, _ := wire.RankOf(rec.Spec.Rank)
+	wait := patience
+	if rank == wire.RankLow {
+		wait = lowPatience
+	}
+	if err := in.st.Admit(ctx, 1, wait); err != nil {
+		return err
+	}
+	raw, err := wire.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	e := &entry{rec: rec, rank: rank, size: 2 * len(raw), done: make(chan error, 1)}
+	in.mu.Lock()
+	in.queue = append(in.queue, e)
+	if !in.busy {
+		in.busy = true
+		go in.run()
+	}
+	in.mu.Unlock()
+	select {
+	case err := <-e.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err() // it may be taken yet: asked again, it is known then
+	}
+}
+
+// run commits one batch after another until none waits.
+func (in *intake) run() {
+	for {
+		in.mu.Lock()
+		batch := in.next()
+		if len(batch) == 0 {
+			in.busy = false
+			in.mu.Unlock()
+			return
+		}
+		in.mu.Unlock()
+		in.commit(batch)
+	}
+}
+
+// next takes the submissions of the next transaction out of the queue. The
+// caller holds mu.
+func (in *intake) next() (batch []*entry) {
+	slices.SortStableFunc(in.queue, func(a, b *entry) int { return cmp.Compare(b.rank, a.rank) })
+	rest, size := in.queue[:0:0], 0
+	taken := map[string]bool{}
+	for _, e := range in.queue {
+		// The same job once more: it finds the first known.
+		if len(batch) >= maxBatch || len(batch) > 0 && size+e.size > maxBatchSize || taken[e.rec.Spec.UID] {
+			rest = append(rest, e)
+			continue
+		}
+		taken[e.rec.Spec.UID] = true
+		size += e.size
+		batch = append(batch, e)
+	}
+	in.queue = rest
+	return batch
+}
+
+func (in *intake) commit(batch []*entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	for len(batch) > 0 {
+		var txn wire.Txn
+		for _, e := range batch {
+			uid := e.rec.Spec.UID
+			txn.When = append(txn.When, wire.When{Path: store.JobKey(uid)}, wire.When{Path: store.OverKey(uid)})
+			txn.Apply = append(txn.Apply, wire.Apply{Set: store.JobKey(uid), Value: e.rec})
+		}
+		err := tryBusy(ctx, in.st, in.ck, txn)
+		var conflict *store.Conflict
+		if !errors.As(err, &conflict) {
+			for _, e := range batch {
+				e.done <- err
+			}
+			return
+		}
+		// Those that are known hear so; the others are tried again without them.
+		rest := batch[:0:0]
+		for _, e := range batch {
+			if uid := e.rec.Spec.UID; slices.Contains(conflict.Failed, store.JobKey(uid)) || slices.Contains(conflict.Failed, store.OverKey(uid)) {
+				e.done <- err
+			} else {
+				rest = append(rest, e)
+			}
+		}
+		if len(rest) == len(batch) {
+			for _, e := range batch {
+				e.done <- store.ErrBadAnswer
+			}
+			return
+		}
+		batch = rest
+	}
+}
+
+// tryBusy runs a user's transaction, again for a moment while the service only
+// has too much to do at once.
+func tryBusy(ctx context.Context, st *store.Client, ck *clock.Clock, txn wire.Txn) error {
+	for try := 1; ; try++ {
+		_, err := st.Commit(ctx, store.Vital, txn)
+		busy := errors.Is(err, store.ErrBusy)
+		if busy || err == nil {
+			st.Crowded(busy)
+		}
+		if !busy || try >= busyTries {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ck.After(time.Duration(80+rand.IntN(160)) * time.Millisecond):
+		}
+	}
+}
--- a/api/view.go
+++ b/api/view.go
@@ -7,6 +7,7 @@
 
 	"cedardoor/clock"
 	"cedardoor/store"
+	"cedardoor/wire"
 )
 
 // view answers many queries with few reads. It keeps which jobs are unfinished
@@ -20,8 +21,8 @@
 	count func(ctx context.Context, uids []string) map[string][2]int
 	pause clock.Micros // least time between reads
 
-	mu     sync.Mutex // guards all below
-	live   map[string]bool
+	mu     sync.Mutex      // guards all below
+	live   map[string]bool // the jobs that have a record among the unfinished: true, or false if it says that they are over
 	loaded bool
 	epoch  uint64
 	next   *round // gathers the questions for the next read
@@ -34,15 +35,24 @@
 	uids   []string
 	done   chan struct{}
 	err    error
-	live   map[string]bool   // of uids
+	state  map[string]standing
 	counts map[string][2]int // tasks done and running, for display
 }
 
+// standing is where a job's record is.
+type standing int
+
+const (
+	elsewhere  standing = iota // among the final states, or nowhere
+	unfinished                 // among the unfinished jobs
+	settled                    // still among them, but it says that the job is over
+)
+
 // readLimit bounds one read: users wait two seconds for an answer.
 const readLimit = 1200 * clock.Millisecond
 
-// ask tells whether a job is unfinished now, and its counts.
-func (v *view) ask(ctx context.Context, uid string) (live bool, counts [2]int, err error) {
+// ask tells where a job's record is now, and its counts.
+func (v *view) ask(ctx context.Context, uid string) (at standing, counts [2]int, err error) {
 	v.mu.Lock()
 	if v.next == nil {
 		v.next = &round{done: make(chan struct{})}
@@ -56,9 +66,9 @@
 	v.mu.Unlock()
 	select {
 	case <-r.done:
-		return r.live[uid], r.counts[uid], r.err
+		return r.state[uid], r.counts[uid], r.err
 	case <-ctx.Done():
-		return false, counts, ctx.Err()
+		return elsewhere, counts, ctx.Err()
 	}
 }
 
@@ -92,10 +102,14 @@
 	go func() { counted <- v.count(ctx, r.uids) }()
 	err := v.catchUp(ctx)
 	r.err = err
-	r.live = make(map[string]bool, len(r.uids))
+	r.state = make(map[string]standing, len(r.uids))
 	v.mu.Lock()
 	for _, uid := range r.uids {
-		r.live[uid] = v.live[uid]
+		if live, here := v.live[uid]; live {
+			r.state[uid] = unfinished
+		} else if here {
+			r.state[uid] = settled
+		}
 	}
 	v.mu.Unlock()
 	if err == nil {
@@ -115,7 +129,7 @@
 			v.mu.Lock()
 			for _, ev := range ch.Events {
 				if ev.Set != "" {
-					v.live[ev.Set[min(len(store.PrefixJob), len(ev.Set)):]] = true
+					v.live[ev.Set[min(len(store.PrefixJob), len(ev.Set)):]] = !isOver(ev.Value)
 				} else {
 					delete(v.live, ev.Delete[min(len(store.PrefixJob), len(ev.Delete)):])
 				}
@@ -134,7 +148,7 @@
 	}
 	live := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = true
+		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = !isOver(row.Value)
 	}
 	v.mu.Lock()
 	v.live, v.epoch, v.loaded = live, epoch, true
@@ -142,3 +156,11 @@
 	// A listing of several pages is not of one moment: the changes since make it so.
 	return v.catchUp(ctx)
 }
+
+// isOver tells whether a job's record says that it is over.
+func isOver(value []byte) bool {
+	var rec struct {
+		Over *struct{} `msgpack:"o"`
+	}
+	return wire.Unmarshal(value, &rec) == nil && rec.Over != nil
+}
--- a/api/view_test.go
+++ b/api/view_test.go
@@ -31,16 +31,16 @@
 		}
 	}
 	set("j-1")
-	if live, _, err := v.ask(t.Context(), "j-1"); err != nil || !live {
-		t.Fatalf("first poll: %t, %v", live, err)
+	if at, _, err := v.ask(t.Context(), "j-1"); err != nil || at != unfinished {
+		t.Fatalf("first poll: %v, %v", at, err)
 	}
 	reads := func(polls int) int {
 		before := state.Requests()
 		release := state.Stall()
 		done := make(chan bool)
 		poll := func() {
-			live, _, err := v.ask(t.Context(), "j-1")
-			done <- live && err == nil
+			at, _, err := v.ask(t.Context(), "j-1")
+			done <- at == unfinished && err == nil
 		}
 		go poll()
 		for state.Requests() == before { // its read is under way
--- /dev/null
+++ b/boots_test.go
@@ -0,0 +1,116 @@
+package cedardoor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cedardoor/clock"
+	"cedardoor/wire"
+)
+
+// booting is a leader that asked for so many machines some time ago; the list
+// shows them, and none has come up.
+func booting(t *testing.T, n int, ago time.Duration) (*site, *reign) {
+	t.Helper()
+	s := newSite(t)
+	node := s.node(nil)
+	g, _ := s.elect(node)
+	rentMore(g, 0, n)
+	s.advance(ago)
+	return s, g
+}
+
+func rentMore(g *reign, from, n int) {
+	now := g.ck.Now()
+	for i := from; i < from+n; i++ {
+		m := g.fl.Ensure(fmt.Sprintf("n-%02d", i), now)
+		g.fl.Place(m, "e", "b", "x", true)
+		m.Listed, m.ListedAt = wire.HostBooting, now
+		g.asked[m.Name] = now
+	}
+}
+
+func (g *reign) upFrom(from, n int) {
+	for i := from; i < from+n; i++ {
+		m := g.fl.Machine(fmt.Sprintf("n-%02d", i))
+		m.Beaten, m.LastBeat = true, g.ck.Now()
+		g.cameUp(m, g.ck.Now())
+	}
+}
+
+func counts(g *reign) (out, givenUp int) {
+	a, b := g.overdue(g.ck.Now())
+	return len(a), len(b)
+}
+
+// A machine that stays away while others come is replaced and returned long
+// before the whole of the patience with it.
+func TestOneMachineThatNeverComes(t *testing.T) {
+	s, g := booting(t, 10, 30*time.Second)
+	g.upFrom(1, 9)
+	if out, up := counts(g); out != 0 || up != 0 {
+		t.Errorf("in its time: %d counted out, %d given up", out, up)
+	}
+	s.advance(22 * time.Second) // 52 s of the 30 that its type takes
+	if out, up := counts(g); out != 1 || up != 1 {
+		t.Errorf("late: %d counted out, %d given up, want it", out, up)
+	}
+	for _, b := range g.boots {
+		if b.share < 0.99 || b.share > 1.01 {
+			t.Errorf("a boot of 30 s was taken for %.2f of the stated time", b.share)
+		}
+	}
+}
+
+// When all come late, neither a second fleet is rented on top nor all are
+// returned and rented anew; when new ones come in time again, the rest goes.
+func TestAllMachinesComeLate(t *testing.T) {
+	s, g := booting(t, 20, 60*time.Second)
+	if out, up := counts(g); out == 0 || out > 6 || up != 0 {
+		t.Errorf("all late: %d counted out, %d given up, want a part and none", out, up)
+	}
+	s.advance(30 * time.Second)
+	g.upFrom(0, 8) // at three times the stated time
+	s.advance(40 * time.Second)
+	if out, up := counts(g); out == 0 || out > 4 || up != 0 {
+		t.Errorf("at 4.3 times, others having come at 3: %d counted out, %d given up", out, up)
+	}
+	rentMore(g, 20, 12)
+	s.advance(20 * time.Second)
+	g.upFrom(20, 12)
+	if out, up := counts(g); out != 12 || up != 12 {
+		t.Errorf("new ones come in time: %d counted out, %d given up, want the 12 left", out, up)
+	}
+}
+
+// A machine may report before the rental is answered and before any list shows
+// it: it counts once, and nothing is rented in its stead.
+func TestMachineUpAtOnce(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	g, _ := s.elect(n)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Cores, sp.Loaned, sp.Shape, sp.Rank = 6, false, wire.ShapeStanding, "critical" }))
+	s.resync(g)
+	g.resize(t.Context())
+	hosts := s.cloud.Hosts()
+	if len(hosts) == 0 {
+		t.Fatal("nothing rented")
+	}
+	for _, h := range hosts {
+		w := s.worker(h.UID, h.Yard, h.Loaned)
+		beat(t, g, w)
+	}
+	for range 5 {
+		s.advance(time.Second)
+		g.resize(t.Context())
+	}
+	if more := len(s.cloud.Hosts()) - len(hosts); more != 0 || len(s.cloud.Returns()) != 0 {
+		t.Errorf("%d more rented, returned %v", more, s.cloud.Returns())
+	}
+	for _, b := range g.boots {
+		if b.share > float64(2*clock.Second)/float64(30*clock.Second) {
+			t.Errorf("boot taken for %.2f of the stated time", b.share)
+		}
+	}
+}
--- a/engine.go
+++ b/engine.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 
 	"cedardoor/agent"
@@ -60,6 +61,8 @@
 	waiting   []int
 	done      int
 	chunks    []chunk
+	result    *fleet.Booking // of its only task, until that is durable
+	slab      *slab          // the record of its only task, when it has one, instead
 	started   bool
 	trial     trial // what its tasks' failures tell of it
 	ran       runStat
@@ -92,6 +95,10 @@
 func (j *job) group() bool { return j.spec.Shape == wire.ShapeGroup }
 
 func (j *job) touch(index int) *chunk {
+	if j.slab != nil {
+		j.slab.seq++
+		return &j.slab.chunk
+	}
 	c := &j.chunks[index/store.ChunkPieces]
 	c.seq++
 	return c
@@ -120,9 +127,17 @@
 	loaded   bool
 	fl       *fleet.Fleet
 	jobs     map[string]*job
-	dirty    map[string]bool                 // jobs with something to record now
-	lazy     map[string]clock.Micros         // jobs with results to record, and by when
-	queue    map[*job]bool                   // jobs with tasks that wait
+	dirty    map[string]bool         // jobs with something to record now
+	lazy     map[string]clock.Micros // jobs with results to record, and by when
+	queue    map[*job]bool           // jobs with tasks that wait
+	slab     *slab                   // takes the single tasks of the next jobs
+	slabN    int
+	asked    map[string]clock.Micros         // machines rented by this reign and not up yet, by when they were asked for
+	boots    []boot                          // how long machines took lately
+	paced    float64                         // tasks of the lowest rank that may be started
+	pacedAt  clock.Micros                    // when that was counted
+	untidy   map[*slab]bool                  // hold rows of jobs that are over
+	filings  []*filing                       // done, and still to move to their final place
 	pic      *plan.Picture                   // kept up to date from what was touched
 	touched  map[*fleet.Machine]bool         // machines that the picture is behind on
 	toTell   map[*fleet.Machine]bool         // machines with orders that should not wait for a beat
@@ -179,7 +194,7 @@
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
-		strikes: map[*fleet.Machine]map[*job]int{},
+		strikes: map[*fleet.Machine]map[*job]int{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
 		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
 	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
@@ -267,6 +282,10 @@
 	if err != nil {
 		return 0, err
 	}
+	slabs, _, err := g.st.List(ctx, store.Urgent, store.PrefixSlab)
+	if err != nil {
+		return 0, err
+	}
 	catRow, catFound, err := g.st.Get(ctx, store.Urgent, store.KeyCatalog)
 	if err != nil {
 		return 0, err
@@ -277,13 +296,32 @@
 	}
 	// Jobs that are over while some of their tasks may still be on machines.
 	left := map[string]wire.Spec{}
-	there := map[string]bool{}
+	there, done := map[string]bool{}, map[string]bool{}
 	for _, row := range jobs {
-		there[row.Path] = true
+		uid := strings.TrimPrefix(row.Path, store.PrefixJob)
+		there[uid] = true
+		if over := overIn(row.Value); over != nil {
+			left[uid], done[uid] = leftOf(uid, over), true
+			g.filings = append(g.filings, &filing{uid: uid, stamp: row.Stamp, rec: *over})
+		}
 	}
+	var names []string
 	for _, row := range chunks {
-		uid, _, ok := store.ParseChunkKey(row.Path)
-		if _, known := left[uid]; !ok || known || there[store.JobKey(uid)] {
+		if uid, _, ok := store.ParseChunkKey(row.Path); ok {
+			names = append(names, uid)
+		}
+	}
+	shared := make([]store.SlabRecord, len(slabs))
+	for i, row := range slabs {
+		if err := wire.Unmarshal(row.Value, &shared[i]); err != nil {
+			return 0, fmt.Errorf("record %s: %w", row.Path, err)
+		}
+		for _, r := range shared[i].Rows {
+			names = append(names, r.UID)
+		}
+	}
+	for _, uid := range names {
+		if _, known := left[uid]; known || there[uid] {
 			continue
 		}
 		over, found, err := g.st.Get(ctx, store.Urgent, store.OverKey(uid))
@@ -292,7 +330,7 @@
 		}
 		var rec store.OverRecord
 		if found && wire.Unmarshal(over.Value, &rec) == nil {
-			left[uid] = wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Pieces}
+			left[uid], done[uid] = leftOf(uid, &rec), rec.Status == wire.JobDone
 		}
 	}
 	g.mu.Lock()
@@ -319,7 +357,6 @@
 			return 0, err
 		}
 	}
-	lease := clock.FromSeconds(g.cfg.Facts.Workers.LeaseS)
 	for _, row := range chunks {
 		uid, n, ok := store.ParseChunkKey(row.Path)
 		if !ok {
@@ -359,22 +396,32 @@
 			}
 		}
 		for _, p := range runs {
-			pc := &j.pieces[base+p.Index]
-			pc.try, pc.ran = p.Try, true
-			j.started = true
-			if p.Host == "" {
-				continue
+			g.adopt(j, base+p.Index, p, now)
+		}
+	}
+	for i, row := range slabs {
+		s := &slab{key: row.Path, n: store.SlabJobs}
+		s.stamp = row.Stamp
+		for _, r := range shared[i].Rows {
+			j := g.jobs[r.UID]
+			// A job that is done has ended wherever it was.
+			if spec, over := left[r.UID]; j == nil && over && r.Host != "" && !done[r.UID] {
+				j = &job{uid: r.UID, spec: spec, cancelled: true, pieces: make([]piece, 1)}
+				j.pj = g.planJob(j)
+				g.jobs[r.UID] = j
+				g.dirty[r.UID] = true
 			}
-			m := g.fl.Ensure(p.Host, now)
-			g.unheard[m] = true
-			m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(fleet.Drift)+clock.Second)
-			b := g.booking(j, base+p.Index, p.Try)
-			b.Tenure = p.Tenure
-			g.fl.Adopt(m, b, now)
-			if j.cancelled {
-				b.Halt, b.HaltAt = true, now
+			if j == nil || len(j.pieces) != 1 {
+				s.seq++ // nothing of it can be anywhere: its row goes
+				continue
 			}
-			pc.state, pc.booking = piecePlaced, b
+			j.slab = s
+			s.jobs = append(s.jobs, j)
+			g.adopt(j, 0, store.Placed{Try: r.Try, Host: r.Host, Tenure: r.Tenure}, now)
+		}
+		if s.seq > 0 || len(s.jobs) == 0 {
+			s.seq++
+			g.untidy[s] = true
 		}
 	}
 	for _, j := range g.jobs {
@@ -403,6 +450,43 @@
 	return epoch, nil
 }
 
+// adopt takes in an attempt that a predecessor recorded. The caller holds mu.
+func (g *reign) adopt(j *job, index int, p store.Placed, now clock.Micros) {
+	pc := &j.pieces[index]
+	pc.try, pc.ran = p.Try, true
+	j.started = true
+	if p.Host == "" {
+		return
+	}
+	lease := clock.FromSeconds(g.cfg.Facts.Workers.LeaseS)
+	m := g.fl.Ensure(p.Host, now)
+	g.unheard[m] = true
+	m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(fleet.Drift)+clock.Second)
+	b := g.booking(j, index, p.Try)
+	b.Tenure = p.Tenure
+	g.fl.Adopt(m, b, now)
+	if j.cancelled {
+		b.Halt, b.HaltAt = true, now
+	}
+	pc.state, pc.booking = piecePlaced, b
+}
+
+// overIn gives the final state that a job's record holds, if it is over.
+func overIn(value []byte) *store.OverRecord {
+	var rec struct {
+		Over *store.OverRecord `msgpack:"o"`
+	}
+	if wire.Unmarshal(value, &rec) != nil {
+		return nil
+	}
+	return rec.Over
+}
+
+// leftOf is what the tasks of a job that is over take, where some are left.
+func leftOf(uid string, rec *store.OverRecord) wire.Spec {
+	return wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Pieces}
+}
+
 func (g *reign) booking(j *job, index int, try uint64) *fleet.Booking {
 	s := &j.spec
 	return &fleet.Booking{Tag: j, Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
@@ -415,12 +499,15 @@
 	if err := wire.Unmarshal(value, &rec); err != nil {
 		return fmt.Errorf("record %s: %w", key, err)
 	}
+	if rec.Over != nil {
+		return nil
+	}
 	s := rec.Spec
 	if store.JobKey(s.UID) != key || s.Pieces < 1 || s.Pieces > wire.MaxPieces {
 		return fmt.Errorf("record %s: not this job's", key)
 	}
 	if j := g.jobs[s.UID]; j != nil {
-		j.stamp = stamp
+		j.stamp = max(j.stamp, stamp)
 		return nil
 	}
 	rank, _ := wire.RankOf(s.Rank)
@@ -551,6 +638,9 @@
 	j.waiting = nil
 	delete(g.queue, j)
 	g.acquit(j)
+	if j.result != nil {
+		j.result.Settled = true // nobody has any use for it any more
+	}
 	for i := range j.pieces {
 		pc := &j.pieces[i]
 		if pc.target != nil {
@@ -615,13 +705,21 @@
 		j.running--
 	}
 	c := j.touch(b.Piece.Index)
+	if j.slab != nil && g.slab != j.slab && j.slab.stamp > 0 {
+		g.untidy[j.slab] = true
+	}
 	if j.cancelled {
 		g.dirty[j.uid] = true
 		b.Settled = true
 		return
 	}
 	g.later(j, now)
-	c.ending = append(c.ending, b)
+	if j.slab != nil && b.Cause == wire.CauseDone && !gone {
+		// Its row in the shared record does not hold the result: the end of the job does.
+		j.result = b
+	} else {
+		c.ending = append(c.ending, b)
+	}
 	m := b.Machine
 	cause := b.Cause
 	if gone {
@@ -744,6 +842,7 @@
 	}
 	if m.Beaten {
 		delete(g.unheard, m)
+		g.cameUp(m, now)
 	}
 	g.news(news, now)
 	g.fl.Answered(m, now, warrant)
--- a/picture.go
+++ b/picture.go
@@ -8,6 +8,7 @@
 	"cedardoor/clock"
 	"cedardoor/fleet"
 	"cedardoor/plan"
+	"cedardoor/wire"
 )
 
 // usable tells whether a machine may be given tasks.
@@ -136,6 +137,7 @@
 	g.entitle(now)
 	wall := g.ck.Wall()
 	const perPass = 400 // tasks of one job offered to one pass
+	low := g.allowance(now)
 	for j := range g.queue {
 		j.prune()
 		if j.cancelled || len(j.waiting) == 0 {
@@ -148,7 +150,13 @@
 			tries = g.mayTry(j, now)
 			pj.Probe = j.trial.doubtful()
 		}
-		idx := make([]int, 0, min(len(tries), perPass))
+		most := perPass
+		if j.rank == wire.RankLow && !j.standing() {
+			if most = min(perPass, low); most <= 0 {
+				continue
+			}
+		}
+		idx := make([]int, 0, min(len(tries), most))
 		lost := false
 		for _, i := range tries {
 			if j.pieces[i].notBefore > now {
@@ -156,7 +164,7 @@
 			}
 			idx = append(idx, i)
 			lost = lost || j.pieces[i].ran
-			if len(idx) >= perPass && !j.group() {
+			if len(idx) >= most && !j.group() {
 				break
 			}
 		}
@@ -175,15 +183,38 @@
 	return p
 }
 
+// paceOfCore is how many tasks of the lowest rank a controller with a whole core
+// starts in a second, so that no huge batch of short tasks takes the processor
+// that beats and urgent work need. A task costs its start, its end and its part
+// in the reports of its machine.
+const paceOfCore = 1500
+
+// pace is how many tasks of the lowest rank may be started in a second.
+func (g *reign) pace() float64 {
+	return max(10, paceOfCore*min(1, g.cfg.Facts.Limits.CoreShare))
+}
+
+// allowance is how many of them may be started now. The caller holds mu.
+func (g *reign) allowance(now clock.Micros) int {
+	g.paced = min(g.pace(), g.paced+g.pace()*(now-g.pacedAt).Seconds())
+	g.pacedAt = now
+	return int(g.paced)
+}
+
 // slack is the time left in which the job's tasks must start to meet its
 // deadline and what its class is expected to keep. Without the latter, a long
 // job with much time until its own deadline would be put off for longer than
 // any of its class should wait. Where jobs have no deadlines, the first come
 // goes first: by the class's aims, long jobs would go before short ones.
 func (j *job) slack(wall clock.Micros) clock.Micros {
-	if j.due == 0 {
+	if j.due == 0 && (j.rank != wire.RankLow || j.finish == 0) {
 		return noSlack
 	}
+	if j.due == 0 {
+		// What runs when there is room may be there for hours: what is expected to be
+		// done by some time goes before what is not.
+		return max(0, clock.Micros(j.at)+j.finish-wall)
+	}
 	begin := min(j.begin, j.due-clock.FromSeconds(j.spec.ExpectS))
 	if j.finish > 0 {
 		begin = min(begin, j.finish-clock.FromSeconds(j.spec.ExpectS))
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -164,6 +164,8 @@
 	rng    *rand.Rand
 	undo   []func()
 	copies []*Machine // machines changed by the plan
+	// stopping is what the plan stops of each team.
+	stopping map[string]Quota
 }
 
 // Make plans one round: first the launches of services, then the repair moves,
@@ -172,7 +174,7 @@
 	if p.index == nil {
 		p.reindex()
 	}
-	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
+	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1)), stopping: map[string]Quota{}}
 	pl.out.Unplaced = map[string]int{}
 	pl.launch(true)
 	pl.repair()
@@ -262,7 +264,17 @@
 // some places as many of a job's waiting tasks as there is room for.
 func (pl *planner) some(w *Waiting, failed *[]*Job, last bool) (placed int) {
 	j := w.Job
+	var block *Machine // takes more of the same
+	left := 0
 	for n, index := range w.Indexes {
+		if block != nil {
+			if left--; left >= 0 && room(j, block) && pl.allowed(j, block) {
+				pl.place(j, index, block)
+				placed++
+				continue
+			}
+			block = nil
+		}
 		m := pl.target(j, "", nil)
 		if last && m != nil && pl.Preempt && !j.Probe && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
 			// Only cold machines have room: waiting for an image costs an urgent task
@@ -284,12 +296,38 @@
 			}
 			break
 		}
+		if left = alike(j, m, len(w.Indexes)-n); left > 0 {
+			block = m
+		}
 		pl.place(j, index, m)
 		placed++
 	}
 	return placed
 }
 
+// A machine takes up to mostAlike tasks of a job at a time where it has room for
+// fewAlike and more: thousands of small tasks spread one by one over all machines
+// would have each of them report twice a second.
+const (
+	fewAlike  = 16
+	mostAlike = 64
+)
+
+// alike is how many more of a job's tasks go with one that goes to m.
+func alike(j *Job, m *Machine, waiting int) int {
+	if j.Standing || j.Apart || j.SamePlace || j.Cores <= 0 {
+		return 0
+	}
+	fit := m.Cores / j.Cores
+	if j.RAM > 0 {
+		fit = min(fit, m.RAM/j.RAM)
+	}
+	if fit < fewAlike || waiting < fewAlike {
+		return 0
+	}
+	return int(min(fit, mostAlike, float64(waiting))) - 1
+}
+
 // soonEnough tells whether a task would start in time on a machine that has yet
 // to fetch its image: then no other need make way. Fetches vary by a third, and
 // share what a machine fetches at a time.
@@ -710,6 +748,11 @@
 		best.StopAccel += v.Accel
 		best.StopRAM += v.RAM
 		pl.out.Preempt = append(pl.out.Preempt, v.Task)
+		if v.Job != nil {
+			s := pl.stopping[v.Job.Team]
+			s.Cores, s.Accel = s.Cores+v.Cores, s.Accel+v.Accel
+			pl.stopping[v.Job.Team] = s
+		}
 	}
 	// The claim goes against the room on its way first, so that free room that
 	// is too small here stays usable for others.
@@ -722,13 +765,18 @@
 	return true
 }
 
-// borrowed tells whether a task runs beyond its team's guarantee.
+// borrowed tells whether a task runs beyond its team's guarantee: all that a team
+// without one runs does. What is being stopped of a team counts no more.
 func (pl *planner) borrowed(v *Victim) bool {
 	if v.Borrowed || v.Job == nil || v.Job.Entitled {
 		return v.Borrowed
 	}
 	q := pl.Team[v.Job.Team]
-	return q != nil && (q.CoresMin > 0 && q.Cores > q.CoresMin+slop || q.AccelMin > 0 && q.Accel > q.AccelMin+slop)
+	if q == nil {
+		return false
+	}
+	s := pl.stopping[v.Job.Team]
+	return q.Cores-s.Cores > q.CoresMin+slop || v.Accel > 0 && q.Accel-s.Accel > q.AccelMin+slop
 }
 
 func claim(coming, free *float64, want float64) {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -246,6 +246,57 @@
 	}
 }
 
+// What a team without a guarantee runs gives way to a team within its own,
+// whatever the ranks; a team is not stopped below its guarantee.
+func TestBorrowedRoomReturns(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		min, use float64
+		entitled bool
+		want     int
+	}{
+		{"a guest's", 0, 16, true, 2},
+		{"for a team beyond its own guarantee", 0, 16, false, 0},
+		{"of a team beyond its guarantee by one task", 8, 16, true, 1},
+		{"of a team within its guarantee", 16, 16, true, 0},
+	} {
+		m := machine("a", "x", 0, 10)
+		guest := newJob("j-1", 2, 8, 8)
+		guest.Team, guest.Rank = "guest", wire.RankHigh
+		for i := range 2 {
+			m.Lower = append(m.Lower, Victim{Task: TaskID{"j-1", i}, Job: guest, Rank: guest.Rank, Cores: 8, RAM: 8, Since: 50})
+		}
+		own := newJob("j-2", 2, 8, 8)
+		own.Entitled = tt.entitled
+		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(2)}},
+			Team: map[string]*Quota{"guest": {Cores: tt.use, CoresMin: tt.min}, "t": {CoresMin: 16}}})
+		if len(res.Preempt) != tt.want {
+			t.Errorf("%s: %d tasks stopped, want %d", tt.name, len(res.Preempt), tt.want)
+		}
+	}
+}
+
+// Small tasks of a job go to a machine in blocks, so that few machines report
+// often; large ones are spread as ever.
+func TestManyAlikeShareMachines(t *testing.T) {
+	on := func(cores float64, standing bool) int {
+		var ms []*Machine
+		for i := range 20 {
+			ms = append(ms, machine(fmt.Sprintf("m-%02d", i), "x", 32, 128))
+		}
+		j := newJob("j-1", 128, cores, 1)
+		j.Standing = standing
+		used := map[string]int{}
+		for _, l := range Make(&Picture{Machines: ms, Waiting: []Waiting{{Job: j, Indexes: indexes(128)}}}).Launch {
+			used[l.Machine]++
+		}
+		return len(used)
+	}
+	if small, large, replicas := on(0.25, false), on(4, false), on(0.25, true); small != 2 || large < 16 || replicas != 20 {
+		t.Errorf("128 tasks are on %d machines, large ones on %d, replicas on %d", small, large, replicas)
+	}
+}
+
 // Whatever the picture, no step of a plan breaks capacity, zone cap, limit or ban.
 func TestPlanProperties(t *testing.T) {
 	for seed := range uint64(300) {
--- a/record.go
+++ b/record.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sort"
+	"strings"
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
@@ -20,23 +20,101 @@
 // write is one transaction and what it makes durable.
 type write struct {
 	txn    wire.Txn
+	size   int
 	nonce  string
 	chunks []written
 	over   []*job
 	gone   []*job
+	filed  []*filing
+	slabs  map[*slab]bool
 }
 
 type written struct {
-	j        *job
-	n        int
+	c        *chunk
+	key      string
+	j        *job  // whose tasks it holds, or
+	slab     *slab // the record that it is of
 	seq      uint64
 	recorded []*fleet.Booking
 	ended    []*fleet.Booking
 	deleted  bool
 }
 
+// slab is a record that the single tasks of many jobs share.
+type slab struct {
+	chunk
+	key  string
+	n    int    // jobs ever put into it
+	jobs []*job // those that are in it still
+}
+
+// filing is a job that is done and has yet to move to where final states are kept.
+type filing struct {
+	uid   string
+	stamp uint64
+	rec   store.OverRecord
+	slab  *slab // with a row of it, if any
+}
+
+// single tells whether a job's only task is recorded with those of other jobs.
+func (j *job) single() bool { return len(j.pieces) == 1 && !j.standing() && !j.group() }
+
+// intoSlab finds a job a record for its only task's attempts. The caller holds mu.
+func (g *reign) intoSlab(j *job) {
+	if g.slab == nil || g.closed(g.slab) {
+		g.slabN++
+		g.slab = &slab{key: store.SlabKey(g.r.Stamp, g.slabN)}
+	}
+	j.slab = g.slab
+	j.slab.n++
+	j.slab.jobs = append(j.slab.jobs, j)
+}
+
+// closed tells whether a shared record takes no more jobs: its first write is
+// conditional on each of them.
+func (g *reign) closed(s *slab) bool {
+	return s != g.slab || s.n >= min(store.SlabJobs, 4*g.cfg.Facts.State.TxnOps-8)
+}
+
+// outOfSlab takes a job of which nothing may be anywhere any more out of its
+// record, which is written again when there are changes to spare. The caller holds mu.
+func (g *reign) outOfSlab(j *job) {
+	s := j.slab
+	if s == nil {
+		return
+	}
+	if i := slices.Index(s.jobs, j); i >= 0 {
+		s.jobs = slices.Delete(s.jobs, i, i+1)
+		s.seq++
+	}
+	j.slab = nil
+	if s.stamp > 0 {
+		g.untidy[s] = true
+	}
+}
+
+// atLeast is how many changes a transaction of what can wait may hold when there
+// is none to spare.
+const atLeast = 4
+
+// urgency orders what is to be recorded: placements and ends by rank, then what
+// is left of jobs that are over.
+func (g *reign) urgency(uid string) int {
+	j := g.jobs[uid]
+	switch {
+	case j == nil || j.cancelled:
+		return -1
+	case j.standing():
+		return int(wire.RankCritical)
+	}
+	return int(j.rank)
+}
+
 // collect builds the next transaction from what has changed; nil when nothing
-// has. The caller holds mu.
+// has. What can wait, low work's records and what is left of jobs that are over,
+// takes only changes that are to spare, or few: a full transaction of it would
+// keep the next urgent one waiting for as long as the service takes for it. The
+// caller holds mu.
 func (g *reign) collect() *write {
 	// Results are recorded together with others, and give way to placements.
 	now := g.ck.Now()
@@ -55,23 +133,16 @@
 		delete(g.lazy, uid)
 		g.dirty[uid] = true
 	}
-	if len(g.dirty) == 0 {
-		return nil
-	}
 	g.seq++
-	w := &write{nonce: fmt.Sprintf("%d.%d", g.r.Stamp, g.seq)}
+	w := &write{nonce: fmt.Sprintf("%d.%d", g.r.Stamp, g.seq), slabs: map[*slab]bool{}}
 	w.txn.When = []wire.When{{Path: store.KeyLead, Stamp: g.r.Stamp}}
-	most, size := g.cfg.Facts.State.TxnOps, 0
+	spare := max(atLeast, g.st.Spare())
 	uids := make([]string, 0, len(g.dirty))
 	for uid := range g.dirty {
 		uids = append(uids, uid)
 	}
-	sort.Slice(uids, func(i, k int) bool {
-		a, b := g.jobs[uids[i]], g.jobs[uids[k]]
-		if a != nil && b != nil && a.rank != b.rank {
-			return a.rank > b.rank
-		}
-		return uids[i] < uids[k]
+	slices.SortFunc(uids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(g.urgency(b), g.urgency(a)), cmp.Compare(a, b))
 	})
 	for _, uid := range uids {
 		j := g.jobs[uid]
@@ -79,7 +150,11 @@
 			delete(g.dirty, uid)
 			continue
 		}
-		if len(w.txn.Apply)+2 > most || size > maxTxn {
+		most := g.cfg.Facts.State.TxnOps
+		if g.urgency(uid) < int(wire.RankStandard) {
+			most = min(most, spare)
+		}
+		if len(w.txn.Apply) >= most || w.size > maxTxn || len(w.txn.When)+2 > 4*g.cfg.Facts.State.TxnOps {
 			break
 		}
 		clean := true
@@ -88,17 +163,19 @@
 			clean = g.collectGone(w, j, most)
 		case j.done == len(j.pieces) && !j.standing():
 			g.collectOver(w, j)
+		case j.slab != nil:
+			clean = g.collectSlab(w, j.slab)
 		default:
 			for n := range j.chunks {
 				c := &j.chunks[n]
 				if c.seq == c.saved {
 					continue
 				}
-				if len(w.txn.Apply) >= most || size > maxTxn {
+				if len(w.txn.Apply) >= most || w.size > maxTxn {
 					clean = false
 					break
 				}
-				size += g.collectChunk(w, j, n)
+				g.collectChunk(w, j, n)
 			}
 			w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(uid), Stamp: j.stamp})
 		}
@@ -106,19 +183,22 @@
 			delete(g.dirty, uid)
 		}
 	}
+	if len(w.txn.Apply) == 0 {
+		g.collectFilings(w)
+	}
 	if len(w.txn.Apply) == 0 {
 		return nil
 	}
 	return w
 }
 
-func (g *reign) collectChunk(w *write, j *job, n int) (size int) {
+func (g *reign) collectChunk(w *write, j *job, n int) {
 	c := &j.chunks[n]
 	base := n * store.ChunkPieces
 	end := min(base+store.ChunkPieces, len(j.pieces))
 	done := make([]bool, end-base)
 	var runs []store.Placed
-	wr := written{j: j, n: n, seq: c.seq, ended: c.ending}
+	wr := written{c: c, key: store.ChunkKey(j.uid, n), j: j, seq: c.seq, ended: c.ending}
 	c.ending = nil
 	for i := base; i < end; i++ {
 		pc := &j.pieces[i]
@@ -134,20 +214,97 @@
 			runs = append(runs, store.Placed{Index: i - base, Try: pc.try})
 		}
 	}
-	key := store.ChunkKey(j.uid, n)
-	w.txn.When = append(w.txn.When, wire.When{Path: key, Stamp: c.stamp})
-	w.txn.Apply = append(w.txn.Apply, wire.Apply{Set: key, Value: store.Pack(w.nonce, done, runs)})
+	w.txn.When = append(w.txn.When, wire.When{Path: wr.key, Stamp: c.stamp})
+	w.txn.Apply = append(w.txn.Apply, wire.Apply{Set: wr.key, Value: store.Pack(w.nonce, done, runs)})
 	w.chunks = append(w.chunks, wr)
-	return 200 + 36*len(runs)
+	w.size += 200 + 36*len(runs)
 }
 
-// collectOver calls a job done: its final state and the end of its record are one change.
+// collectSlab records what has changed of the single tasks that share a record,
+// once in a transaction; false when it has no room for all that this takes. Each
+// attempt that becomes durable by it is conditional on its own job, as always.
+func (g *reign) collectSlab(w *write, s *slab) bool {
+	if s.seq == s.saved || w.slabs[s] {
+		return true
+	}
+	wr := written{c: &s.chunk, key: s.key, slab: s, seq: s.seq, ended: s.ending}
+	rec := store.SlabRecord{Nonce: w.nonce, Rows: []store.SlabRow{}}
+	when := []wire.When{{Path: s.key, Stamp: s.stamp}}
+	for _, j := range s.jobs {
+		pc := &j.pieces[0]
+		switch {
+		case pc.booking != nil:
+			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Try: pc.try, Host: pc.booking.Machine.Name, Tenure: pc.booking.Tenure})
+			if !pc.booking.Recorded && !j.cancelled {
+				wr.recorded = append(wr.recorded, pc.booking)
+				when = append(when, wire.When{Path: store.JobKey(j.uid), Stamp: j.stamp})
+			}
+		case pc.try > 0:
+			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Try: pc.try})
+		}
+	}
+	if len(w.txn.When)+len(when) > 4*g.cfg.Facts.State.TxnOps && len(w.txn.Apply) > 0 {
+		return false
+	}
+	w.slabs[s] = true
+	s.ending = nil
+	w.txn.When = append(w.txn.When, when...)
+	if len(rec.Rows) == 0 && g.closed(s) && s.stamp > 0 {
+		wr.deleted = true
+		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: s.key})
+	} else {
+		w.txn.Apply = append(w.txn.Apply, wire.Apply{Set: s.key, Value: rec})
+	}
+	w.chunks = append(w.chunks, wr)
+	w.size += 100 + 70*len(rec.Rows)
+	return true
+}
+
+// collectOver calls a job done, in its own record: one change, however many
+// come at a time. It moves to its final place later.
 func (g *reign) collectOver(w *write, j *job) {
+	rec := store.Over(&j.spec, wire.JobDone, w.nonce)
 	w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(j.uid), Stamp: j.stamp})
-	w.txn.Apply = append(w.txn.Apply,
-		wire.Apply{Delete: store.JobKey(j.uid)},
-		wire.Apply{Set: store.OverKey(j.uid), Value: store.Over(&j.spec, wire.JobDone, w.nonce)})
+	w.txn.Apply = append(w.txn.Apply, wire.Apply{Set: store.JobKey(j.uid),
+		Value: store.JobRecord{Spec: wire.Spec{UID: j.uid}, AtUS: j.at, Over: &rec}})
 	w.over = append(w.over, j)
+	w.size += 300
+}
+
+// filingsAt is how many changes must be to spare for jobs that are done to move
+// to their final place, and manyFilings how many of them make it pressing: a new
+// leader reads them with the unfinished ones.
+const (
+	filingsAt   = 12
+	manyFilings = 2000
+)
+
+// collectFilings moves jobs that are done to their final place, and writes the
+// records again that hold rows of them, when nothing else is to be recorded.
+func (g *reign) collectFilings(w *write) {
+	spare := min(g.cfg.Facts.State.TxnOps, g.st.Spare())
+	if spare < min(filingsAt, g.cfg.Facts.State.TxnOps) && len(g.filings) < manyFilings {
+		return
+	}
+	for len(g.filings) > 0 && len(w.txn.Apply)+3 <= max(3, spare) {
+		f := g.filings[0]
+		g.filings = g.filings[1:]
+		// A row that outlived its job's record would have to be looked up by a new leader.
+		if f.slab != nil && f.slab.stamp > 0 {
+			delete(g.untidy, f.slab)
+			g.collectSlab(w, f.slab)
+		}
+		w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(f.uid), Stamp: f.stamp})
+		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: store.JobKey(f.uid)}, wire.Apply{Set: store.OverKey(f.uid), Value: f.rec})
+		w.filed = append(w.filed, f)
+	}
+	for s := range g.untidy {
+		if len(w.txn.Apply) >= spare {
+			break
+		}
+		delete(g.untidy, s)
+		g.collectSlab(w, s)
+	}
 }
 
 // collectGone deletes a cancelled job's records once none of its tasks can
@@ -165,15 +322,17 @@
 		if len(w.txn.Apply) >= most {
 			return false
 		}
-		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: store.ChunkKey(j.uid, n)})
-		w.chunks = append(w.chunks, written{j: j, n: n, deleted: true})
+		key := store.ChunkKey(j.uid, n)
+		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: key})
+		w.chunks = append(w.chunks, written{c: &j.chunks[n], key: key, j: j, deleted: true})
 	}
-	w.gone = append(w.gone, j)
-	if len(w.txn.Apply) == 0 {
-		// Nothing was ever recorded of it.
+	g.outOfSlab(j)
+	if len(w.txn.Apply) == 0 || !slices.ContainsFunc(w.chunks, func(wr written) bool { return wr.j == j }) {
+		// Nothing of its own is recorded, or no longer.
 		delete(g.jobs, j.uid)
-		w.gone = w.gone[:len(w.gone)-1]
+		return true
 	}
+	w.gone = append(w.gone, j)
 	return true
 }
 
@@ -209,9 +368,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, wr := range w.chunks {
-		c := &wr.j.chunks[wr.n]
+		c := wr.c
 		if wr.deleted {
-			c.stamp = 0
+			c.stamp, c.saved = 0, wr.seq
 			continue
 		}
 		c.stamp, c.saved = epoch, wr.seq
@@ -222,11 +381,19 @@
 		for _, b := range wr.ended {
 			b.Settled = true
 		}
-		if c.seq != c.saved {
+		switch {
+		case c.seq == c.saved:
+		case wr.slab != nil:
+			g.againSlab(wr.slab, now)
+		default:
 			g.again(wr.j, now)
 		}
 	}
 	for _, j := range w.over {
+		g.filings = append(g.filings, &filing{uid: j.uid, stamp: epoch, rec: store.Over(&j.spec, wire.JobDone, w.nonce), slab: j.slab})
+		if j.result != nil {
+			j.result.Settled = true
+		}
 		for n := range j.chunks {
 			for _, b := range j.chunks[n].ending {
 				b.Settled = true
@@ -244,6 +411,20 @@
 	}
 }
 
+// againSlab does what again does for the jobs of a shared record. The caller holds mu.
+func (g *reign) againSlab(s *slab, now clock.Micros) {
+	for _, j := range s.jobs {
+		switch b := j.pieces[0].booking; {
+		case j.cancelled:
+		case b != nil && !b.Recorded || j.done == 1:
+			g.dirty[j.uid] = true
+		}
+	}
+	if s.seq != s.saved && s.stamp > 0 {
+		g.untidy[s] = true
+	}
+}
+
 // again marks a job whose record is behind: at once if a placement waits for it.
 // The caller holds mu.
 func (g *reign) again(j *job, now clock.Micros) {
@@ -267,6 +448,17 @@
 	g.later(j, now)
 }
 
+// look reads a key, again until there is an answer or the reign is over.
+func (g *reign) look(ctx context.Context, key string) (row wire.Row, found bool, err error) {
+	for {
+		row, found, err = g.st.Get(ctx, store.Urgent, key)
+		if err == nil || ctx.Err() != nil {
+			return row, found, err
+		}
+		g.sleep(ctx, 200*clock.Millisecond)
+	}
+}
+
 // conflict finds out why a transaction was refused: an earlier copy of it was
 // applied, a job was cancelled meanwhile, or the reign is over.
 func (g *reign) conflict(ctx context.Context, w *write, failed []string) bool {
@@ -277,37 +469,36 @@
 		}
 	}
 	for _, key := range failed {
-		look := key
-		uid, isJob := "", false
-		if len(key) > len(store.PrefixJob) && key[:len(store.PrefixJob)] == store.PrefixJob {
-			uid, isJob = key[len(store.PrefixJob):], true
-			look = store.OverKey(uid)
+		uid, isJob := strings.CutPrefix(key, store.PrefixJob)
+		row, found, err := g.look(ctx, key)
+		var mark struct {
+			Nonce string            `msgpack:"w"`
+			Over  *store.OverRecord `msgpack:"o"`
 		}
-		row, found, err := g.st.Get(ctx, store.Urgent, look)
-		for err != nil && ctx.Err() == nil {
-			g.sleep(ctx, 200*clock.Millisecond)
-			row, found, err = g.st.Get(ctx, store.Urgent, look)
+		if err == nil && found {
+			err = wire.Unmarshal(row.Value, &mark)
 		}
 		if err != nil {
 			return false
 		}
-		var mark struct {
-			Nonce string `msgpack:"w"`
+		if isJob && mark.Over != nil {
+			mark.Nonce = mark.Over.Nonce
 		}
-		if found && wire.Unmarshal(row.Value, &mark) == nil && mark.Nonce == w.nonce {
+		if found && mark.Nonce == w.nonce {
 			g.applied(w, row.Stamp)
 			return true
 		}
 		g.mu.Lock()
 		if isJob {
-			if j := g.jobs[uid]; j != nil {
+			if j := g.jobs[uid]; j != nil && !found {
 				g.cancel(j, g.ck.Now())
+			} else if j != nil {
+				j.stamp = max(j.stamp, row.Stamp)
 			}
-		} else if _, n, ok := store.ParseChunkKey(key); ok {
-			for _, wr := range w.chunks {
-				if store.ChunkKey(wr.j.uid, wr.n) == key && wr.n == n {
-					wr.j.chunks[n].stamp = row.Stamp
-				}
+		}
+		for _, wr := range w.chunks {
+			if wr.key == key {
+				wr.c.stamp = row.Stamp
 			}
 		}
 		g.mu.Unlock()
@@ -316,8 +507,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, wr := range w.chunks {
-		c := &wr.j.chunks[wr.n]
+		c := wr.c
 		c.ending = append(c.ending, wr.ended...)
+		if wr.slab != nil {
+			g.againSlab(wr.slab, g.ck.Now())
+			continue
+		}
 		g.dirty[wr.j.uid] = true
 		if wr.j.cancelled {
 			for _, b := range c.ending {
@@ -326,6 +521,12 @@
 			c.ending = nil
 		}
 	}
+	for _, f := range w.filed {
+		// What is not where it was has moved already, by a copy of this that came late.
+		if !slices.Contains(failed, store.JobKey(f.uid)) {
+			g.filings = append(g.filings, f)
+		}
+	}
 	for _, j := range append(w.over, w.gone...) {
 		g.dirty[j.uid] = true
 	}
--- a/size_test.go
+++ b/size_test.go
@@ -121,7 +121,7 @@
 					t.Errorf("%s is recorded after work of lower rank", c.j.uid)
 				}
 				last = c.j.rank
-				c.j.chunks[c.n].saved = c.seq
+				c.c.saved = c.seq
 			}
 		}
 		return looked
--- a/sizing.go
+++ b/sizing.go
@@ -218,6 +218,24 @@
 	return drain, patient
 }
 
+// idleDrains is drains for work of the lowest rank, which fills what others leave:
+// machines are rented for it at the pace that its class's aims call for, the more
+// the less time is left, and only spot ones (patient is zero) where there are none.
+func (g *reign) idleDrains(j *job, run float64, wall clock.Micros) (drain, patient float64) {
+	const soonest, latest = 30, 300
+	within := 0.0
+	for _, o := range g.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == j.spec.Lane && (within == 0 || o.WithinS < within) {
+			within = o.WithinS
+		}
+	}
+	if within == 0 {
+		return latest, 0
+	}
+	left := within - (wall - clock.Micros(j.at)).Seconds() - 1.5*run
+	return max(soonest, min(latest, 0.4*left)), max(soonest, left)
+}
+
 // demand sums up the work there is. The caller holds mu.
 //
 // Loaned work is served by a fleet that follows the rate at which work
@@ -228,6 +246,7 @@
 	f := &g.op.Fleet
 	need := cloud.Need{Reserve: f.ReserveOD, ReserveMachine: f.ReserveMachine, ReserveZone: f.ReserveZone, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
 	var work, all, pressing cloud.Load
+	wall := g.ck.Wall()
 	for _, j := range g.jobs {
 		if j.cancelled {
 			continue
@@ -255,6 +274,19 @@
 			continue
 		}
 		run := g.laneRun(j).Seconds()
+		if j.rank == wire.RankLow {
+			// What runs when there is room says nothing of what will come.
+			j.counted = true
+			drain, patient := g.idleDrains(j, run, wall)
+			left := (float64(waiting) + float64(running)/2) * run
+			most := min(float64(running+waiting), g.pace()*run)
+			add(&work, min(most, left/drain))
+			if patient > 0 {
+				add(&pressing, min(most, left/patient))
+			}
+			add(&all, float64(running+waiting))
+			continue
+		}
 		if !j.counted {
 			j.counted = true
 			var l cloud.Load
@@ -438,7 +470,7 @@
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	quiet, known := map[string]int{}, map[string]int{}
-	listed := now-g.awake > 3*clock.FromSeconds(g.cfg.Facts.Cloud.ListLagS) // the list is not of before it stood still
+	late, never := g.overdue(now)
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -463,7 +495,7 @@
 		// machine takes longer to boot than a lease to run out.
 		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Beaten && (m.Hushed || m.Suspect) ||
 			!m.Beaten && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
-			g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report+2*clock.Second
+			g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report+2*clock.Second || late[m]
 		held = append(held, h)
 		if g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report || m.Beaten && (m.Hushed || m.Suspect) {
 			quiet[m.Yard]++
@@ -471,12 +503,8 @@
 		} else if m.Beaten {
 			known[m.Yard]++
 		}
-		ready := 60.0
-		if b, ok := g.fl.Build(m.Build); ok && b.ReadyS > 0 {
-			ready = b.ReadyS
-		}
 		dead := m.Listed == wire.HostFailed ||
-			m.Listed == wire.HostBooting && !m.Beaten && listed && (now-m.FirstSeen).Seconds() > ready*g.op.Fleet.BootFactor ||
+			never[m] ||
 			m.Beaten && now-max(m.LastBeat, g.awake) > silent ||
 			!m.Beaten && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since, g.awake) > silent ||
 			(m.Banned == "sick" || m.Banned == "slow") && h.Live == 0 ||
@@ -614,6 +642,7 @@
 			g.goneList = append(g.goneList, name)
 		}
 		g.gone[name] = now
+		delete(g.asked, name)
 	}
 	g.log.Info("machines returned", "hosts", fmt.Sprint(names))
 	g.wake()
@@ -626,6 +655,7 @@
 	g.hireSeq++
 	req := wire.RentRequest{Hire: fmt.Sprintf("r-%d-%d", g.r.Warrant, g.hireSeq), Build: w.Build, Yard: w.Yard, Loaned: w.Loaned, Count: min(w.Count, wire.MaxRentCount)}
 	g.mu.Unlock()
+	asked := g.ck.Now()
 	var hosts []string
 	var err error
 	for try := 0; try < 3; try++ {
@@ -654,6 +684,10 @@
 	h := &hire{req: req, hosts: map[string]clock.Micros{}}
 	for _, name := range hosts {
 		h.hosts[name] = now
+		g.asked[name] = asked
+		if m := g.fl.Machine(name); m != nil && m.Beaten {
+			g.cameUp(m, now) // before the cloud had answered
+		}
 	}
 	g.pending[req.Hire] = h
 	g.log.Info("machines rented", "build", w.Build, "yard", w.Yard, "loaned", w.Loaned, "hosts", fmt.Sprint(hosts))
--- a/step.go
+++ b/step.go
@@ -48,10 +48,13 @@
 	}
 	took = g.ck.Now() - now
 	g.mu.Unlock()
-	// Everything that changed is recorded, in as many transactions as it takes.
+	// Everything that changed is recorded, in as many transactions as it takes;
+	// but what comes meanwhile is planned before what can wait is recorded: a huge
+	// batch or a swarm has more to record than the store takes for a long time.
 	for range 50 {
 		g.mu.Lock()
 		w := g.collect()
+		more := len(g.dirty) > 0
 		g.mu.Unlock()
 		if w == nil {
 			break
@@ -61,7 +64,15 @@
 		}
 		// Commands go out as soon as what they need is durable.
 		g.dispatch(ctx)
+		if more && len(g.kick) > 0 && g.ck.Now()-now > 4*took {
+			break
+		}
+	}
+	g.mu.Lock()
+	if len(g.dirty) > 0 {
+		g.wake()
 	}
+	g.mu.Unlock()
 	g.dispatch(ctx)
 	g.probeSilent(ctx)
 	g.abdicate()
@@ -116,8 +127,14 @@
 		if j.pj.Probe {
 			g.tried(j, now)
 		}
+		if j.rank == wire.RankLow {
+			g.paced--
+		}
 		g.fl.Reserve(m, b, now)
 		pc.state, pc.booking = piecePlaced, b
+		if j.single() && j.slab == nil && j.chunks[0].stamp == 0 {
+			g.intoSlab(j)
+		}
 		j.touch(l.Task.Index)
 		g.dirty[j.uid] = true
 		delete(g.lazy, j.uid)
@@ -227,7 +244,7 @@
 		if !b.Live() || b.Tenure != m.Tenure {
 			return
 		}
-		if b.Recorded && !b.Halt && b.Sent() == 0 || b.Halt && !b.Urged {
+		if b.Recorded && !b.Halt && b.Sent() == 0 && !b.Unhurried() || b.Halt && !b.Urged {
 			urgent = true
 			b.Urged = b.Halt
 		}
--- a/store/client.go
+++ b/store/client.go
@@ -45,12 +45,11 @@
 type Priority int
 
 // The priorities: Normal requests fail at once over the budget, Urgent ones wait
-// for it. Prompt ones, users' submissions and aborts, do not wait behind the
-// leader's records. Vital requests (leadership) are never held back.
+// for it. Vital requests are never held back: leadership, and users' changes,
+// which Admit has let in.
 const (
 	Normal Priority = iota
 	Urgent
-	Prompt
 	Vital
 )
 
@@ -64,11 +63,11 @@
 	watch    *http.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
+	users    *rate.Limiter // users' submissions and aborts
 	limits   config.State
 	nodes    int
 	timeout  time.Duration
 	retry    *rate.Limiter
-	leads    atomic.Bool
 	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
 
@@ -81,6 +80,9 @@
 const (
 	leadRequests, otherRequests = 0.6, 0.3
 	leadWrites, otherWrites     = 0.8, 0.35
+	// What users' changes through one node may take at most, and what is left to
+	// them, through all nodes together, when the service has more to do than it can.
+	mostUsers, leastUsers = 0.35, 0.2
 )
 
 // retryEvery is how often a service that fails is tried for users' sake.
@@ -95,6 +97,7 @@
 	const dial = 1500 * clock.Millisecond
 	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second,
 		limits: limits, nodes: max(1, nodes), requests: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
+		users: rate.NewLimiter(rate.Limit(mostUsers*limits.WriteRPS), max(4, int(mostUsers*limits.WriteRPS))),
 		retry: rate.NewLimiter(rate.Every(retryEvery), 1)}
 	c.Lead(nodes <= 1)
 	return c
@@ -102,7 +105,6 @@
 
 // Lead sets this node's share of the service's limits.
 func (c *Client) Lead(leads bool) {
-	c.leads.Store(leads)
 	r, w := c.limits.RPS*otherRequests, c.limits.WriteRPS*otherWrites
 	if leads {
 		r, w = c.limits.RPS*leadRequests, c.limits.WriteRPS*leadWrites
@@ -123,8 +125,48 @@
 	return pause
 }
 
+// Admit lets a user's change in, or refuses it at once: when it would have to
+// wait for longer than patience behind others. What users ask for gives way to
+// the leader's records where the service can't take both: see Crowded.
+func (c *Client) Admit(ctx context.Context, puts int, patience time.Duration) error {
+	r := c.users.ReserveN(time.Now(), puts)
+	wait := r.Delay()
+	if !r.OK() || wait > patience {
+		r.Cancel()
+		return fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
+	}
+	if wait == 0 {
+		return nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		r.Cancel()
+		return fmt.Errorf("%w: %w", ErrRefused, ctx.Err())
+	}
+}
+
+// Crowded tells whether the service had too much to do for a user's change: then
+// this node lets fewer in, and more again as they go through. Each node sees for
+// itself how much the others and the leader take.
+func (c *Client) Crowded(yes bool) {
+	most := mostUsers * c.limits.WriteRPS
+	now := float64(c.users.Limit())
+	if yes {
+		c.users.SetLimit(rate.Limit(max(leastUsers*c.limits.WriteRPS/float64(c.nodes), 0.6*now)))
+	} else if now < most {
+		c.users.SetLimit(rate.Limit(min(most, now+0.01*most)))
+	}
+}
+
+// Spare is how many changes could be made right now without waiting.
+func (c *Client) Spare() int { return int(c.writes.Tokens()) }
+
 func (c *Client) admit(ctx context.Context, prio Priority, puts int) error {
-	if prio == Vital || prio == Prompt && c.leads.Load() {
+	if prio == Vital {
 		// These take their tokens without waiting for them.
 		c.requests.Allow()
 		c.writes.AllowN(time.Now(), puts)
--- a/store/records.go
+++ b/store/records.go
@@ -8,10 +8,11 @@
 	"cedardoor/wire"
 )
 
-// Keys of the state service. A job lives under "j/" until it is over and
-// under "f/" for ever after; the two change in one transaction, so a reader
-// that looks at "j/" first and then at "f/" never misses it. That keeps what
-// a new leader has to read to the unfinished jobs.
+// Keys of the state service. A job lives under "j/" and, once it is over, under
+// "f/" for ever; it moves in one transaction, so a reader that looks at "j/"
+// first and then at "f/" never misses it. That keeps what a new leader has to
+// read to the unfinished jobs. A job that is done is noted so in its record
+// under "j/", by one change, and moves when there are changes to spare.
 const (
 	KeyLead    = "lead"
 	KeyWarrant = "warrant"
@@ -20,6 +21,7 @@
 	PrefixJob  = "j/"
 	PrefixOver = "f/"
 	PrefixRuns = "p/"
+	PrefixSlab = "s/"
 )
 
 // JobKey names the record of an unfinished job.
@@ -38,6 +40,10 @@
 	return uid, chunk, found && err == nil && chunk >= 0 && strings.HasPrefix(key, PrefixRuns)
 }
 
+// SlabKey names the n-th record of single tasks' attempts that a reign made;
+// the stamp of its lead is never another reign's.
+func SlabKey(reign uint64, n int) string { return fmt.Sprintf("%s%d.%d", PrefixSlab, reign, n) }
+
 // LeadRecord says who leads.
 type LeadRecord struct {
 	Node  string `msgpack:"n"`
@@ -55,8 +61,30 @@
 	Spec wire.Spec `msgpack:"s"`
 	AtUS int64     `msgpack:"a"`
 	Node string    `msgpack:"n"`
+	// Over is its final state, when it is over and has not moved yet; of the
+	// specification only the name is kept then.
+	Over *OverRecord `msgpack:"o,omitempty"`
+}
+
+// SlabRecord holds the attempts of single tasks of many jobs, so that thousands
+// of small jobs share records and changes.
+type SlabRecord struct {
+	Nonce string    `msgpack:"w"`
+	Rows  []SlabRow `msgpack:"r"`
 }
 
+// SlabRow is the recorded attempt of a job's only task: an empty Host means that it waits.
+type SlabRow struct {
+	UID    string `msgpack:"u"`
+	Try    uint64 `msgpack:"t"`
+	Host   string `msgpack:"h,omitempty"`
+	Tenure uint64 `msgpack:"s"`
+}
+
+// SlabJobs is how many jobs share a record of attempts: rows of at most about
+// 100 bytes in JSON form stay under the smallest value limit.
+const SlabJobs = 60
+
 // DemandRecord is the rate of arriving work as the leader last saw it, and
 // each lane's run times as a count and a sum in microseconds.
 type DemandRecord struct {
--- /dev/null
+++ b/swarm_test.go
@@ -0,0 +1,245 @@
+package cedardoor
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cedardoor/internal/standin"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+// Jobs of one task each share the records of their attempts, and each is called
+// done by one change. What a swarm costs a job may not grow with it, and a change
+// of leaders in the middle neither loses one nor runs one twice.
+func TestSwarmSharesRecords(t *testing.T) {
+	puts := func(jobs int) float64 {
+		s := newSite(t)
+		a, b := s.node(nil), s.node(nil)
+		g, stop := s.elect(a)
+		var ws []*standin.Worker
+		for i := range 4 {
+			w := s.worker(fmt.Sprintf("n-%d", i+1), "x", true)
+			beat(t, g, w)
+			ws = append(ws, w)
+		}
+		uid := func(k int) string { return fmt.Sprintf("j-%d", k) }
+		for k := range jobs {
+			s.submit(a, spec(uid(k), func(sp *wire.Spec) { sp.Cores, sp.RAM = 0.25, 0.5 }))
+		}
+		accepted := s.state.Puts()
+		s.resync(g)
+		ended := map[string]bool{}
+		work := func(g *reign, rounds int) {
+			for range rounds {
+				s.settle(g)
+				for _, w := range ws {
+					for _, p := range w.Live() {
+						w.End(p, wire.CauseDone)
+						ended[p] = true
+					}
+					beat(t, g, w)
+				}
+				s.advance(time.Second)
+			}
+		}
+		work(g, 1)
+		s.settle(g)
+		stop()
+		g, _ = s.elect(b)
+		work(g, 12)
+		s.settle(g)
+		for k := range jobs {
+			if _, v, _ := s.ask(b, http.MethodGet, wire.PathRuns+"/"+uid(k), nil); v.Status != wire.JobDone {
+				t.Fatalf("%s of %d: %+v, want done", uid(k), jobs, v)
+			}
+			if code, v, _ := s.ask(a, http.MethodPost, wire.PathRuns, spec(uid(k), nil)); code != http.StatusOK || v.Status != wire.JobDone {
+				t.Fatalf("%s submitted again: %d %+v", uid(k), code, v)
+			}
+		}
+		seen := map[string]bool{}
+		for _, w := range ws {
+			for _, k := range w.Starts() {
+				if seen[k] {
+					t.Errorf("%s started twice", k)
+				}
+				seen[k] = true
+			}
+		}
+		if len(seen) != jobs {
+			t.Errorf("%d attempts of %d jobs, want one each", len(seen), jobs)
+		}
+		// With changes to spare all of them move to their final place, and the
+		// shared records go.
+		if left := s.state.Keys(store.PrefixJob); len(left) != 0 {
+			t.Errorf("%d jobs have not moved", len(left))
+		}
+		if left := s.state.Keys(store.PrefixSlab); len(left) > 1 {
+			t.Errorf("shared records left: %v", left)
+		}
+		return float64(s.state.Puts()-accepted) / float64(jobs)
+	}
+	// One for the end, two for the move, and a share of the attempts'.
+	small, large := puts(120), puts(480)
+	if small > 3.6 || large > 3.4 {
+		t.Errorf("%.2f and %.2f changes a job of 120 and 480, want little more than 3", small, large)
+	}
+}
+
+// A cancelled job's attempt stays on record until nothing of it can be anywhere,
+// whichever jobs share the record, and under the next leader too.
+func TestCancelInASharedRecord(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(nil), s.node(nil)
+	g, stop := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	beat(t, g, w)
+	for _, uid := range []string{"j-1", "j-2", "j-3"} {
+		s.submit(a, spec(uid, func(sp *wire.Spec) { sp.Cores = 2 }))
+	}
+	s.resync(g)
+	s.settle(g)
+	if got := w.Live(); len(got) != 3 {
+		t.Fatalf("on the machine: %v", got)
+	}
+	w.Unreachable(true)
+	if code, _, _ := s.ask(b, http.MethodPost, wire.PathRuns+"/j-2/"+wire.SuffixAbort, nil); code != http.StatusOK {
+		t.Fatalf("abort: %d", code)
+	}
+	stop()
+	g, _ = s.elect(b)
+	g.mu.Lock()
+	if c := g.fl.Machine("n-1").UsedCores; c != 6 {
+		t.Errorf("%v cores in use, want 6: the cancelled task may still run", c)
+	}
+	g.mu.Unlock()
+	w.Unreachable(false)
+	for range 3 {
+		beat(t, g, w)
+		s.settle(g)
+	}
+	if got := w.Live(); len(got) != 2 {
+		t.Errorf("on the machine: %v, want the two that were not cancelled", got)
+	}
+	if got := w.Starts(); len(got) != 3 {
+		t.Errorf("started %v", got)
+	}
+}
+
+// More submissions than the state service takes: what can't be taken is refused
+// at once and told when to come back, the lowest rank first; what is known
+// already stays known, and cancels go through.
+func TestSwarmIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	_, _ = s.elect(n)
+	small := n.cfg.Facts.State
+	small.WriteRPS = 12
+	n.users.Store = store.New(n.cfg.Outside.State, small, 5)
+	refused, accepted := 0, 0
+	for k := range 40 {
+		code, _, head := s.ask(n, http.MethodPost, wire.PathRuns, spec(fmt.Sprintf("j-%d", k), func(sp *wire.Spec) { sp.Rank = "low" }))
+		switch code {
+		case http.StatusCreated:
+			accepted++
+		case http.StatusTooManyRequests:
+			refused++
+			if head.Get("Retry-After") == "" {
+				t.Fatal("no Retry-After")
+			}
+		default:
+			t.Fatalf("status %d", code)
+		}
+	}
+	if accepted < 4 || refused < 20 {
+		t.Errorf("%d accepted, %d refused", accepted, refused)
+	}
+	if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, spec("j-100", func(sp *wire.Spec) { sp.Rank = "critical" })); code != http.StatusCreated {
+		t.Errorf("a critical job: %d, want 201", code)
+	}
+	if code, v, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/j-0/"+wire.SuffixAbort, nil); code != http.StatusOK || v.Status != wire.JobCancelled {
+		t.Errorf("abort: %d %+v", code, v)
+	}
+}
+
+// A huge batch of short tasks: what a task costs in changes, direct commands and
+// machines looked at does not grow with the batch, urgent work begins in its
+// midst, and a change of leaders neither loses a task nor runs one twice.
+func TestHugeBatch(t *testing.T) {
+	run := func(tasks int) (changes, visits float64) {
+		s := newSite(t)
+		a, b := s.node(nil), s.node(nil)
+		g, stop := s.elect(a)
+		var ws []*standin.Worker
+		for i := range 16 {
+			w := s.worker(fmt.Sprintf("n-%02d", i+1), "x", true)
+			beat(t, g, w)
+			ws = append(ws, w)
+		}
+		s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.RAM = "low", tasks, 0.25, 0.9 }))
+		s.resync(g)
+		before := s.state.Puts()
+		looked, done := 0, 0
+		for round := 0; done < tasks; round++ {
+			if round > 20+tasks/100 {
+				t.Fatalf("%d of %d tasks done after %d rounds", done, tasks, round)
+			}
+			if round == 4 {
+				stop()
+				g, _ = s.elect(b)
+			}
+			if round == 6 {
+				s.submit(b, spec("j-2", func(sp *wire.Spec) { sp.Rank, sp.Cores, sp.RAM = "high", 2, 4 }))
+				s.resync(g)
+			}
+			g.step(t.Context())
+			for _, w := range ws {
+				beat(t, g, w) // takes its orders
+			}
+			for _, w := range ws {
+				for _, p := range w.Live() {
+					if strings.HasPrefix(p, "j-1/") {
+						w.End(p, wire.CauseDone)
+					}
+				}
+				beat(t, g, w)
+			}
+			s.advance(time.Second)
+			g.mu.Lock()
+			done = g.jobs["j-1"].done
+			looked, g.fl.Visits = looked+g.fl.Visits, 0
+			g.mu.Unlock()
+		}
+		s.settle(g)
+		starts := map[string]int{}
+		for _, w := range ws {
+			for _, k := range w.Starts() {
+				starts[k]++
+			}
+		}
+		if starts["j-2/0#1"] != 1 {
+			t.Error("urgent work did not begin amid the batch")
+		}
+		delete(starts, "j-2/0#1")
+		for k, n := range starts {
+			if n > 1 {
+				t.Fatalf("%s started %d times", k, n)
+			}
+		}
+		if len(starts) < tasks || len(starts) > tasks+600 {
+			t.Errorf("%d attempts of %d tasks", len(starts), tasks)
+		}
+		if _, v, _ := s.ask(a, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobDone || v.Done != tasks {
+			t.Errorf("%+v, want done", v)
+		}
+		return float64(s.state.Puts()-before) / float64(tasks), float64(looked) / float64(tasks)
+	}
+	c1, v1 := run(5_000)
+	c2, v2 := run(25_000)
+	if c2 > 1.2*c1 || c2 > 0.1 || v2 > 1.2*v1 || v2 > 12 {
+		t.Errorf("%.3f and %.3f changes, %.1f and %.1f visits a task of 5,000 and 25,000", c1, c2, v1, v2)
+	}
+}
