No transaction beyond the store's limits; a leader that hears nobody rents nothing

(3) Two tasks that always fail in jobs that work could ban an idle machine. (4) Look-ups of unknown jobs waited in front of the reads that answer all other polls. Changes: conditions only with changes, limits kept in every path and by the stand-in, and a transaction that is refused as malformed is taken apart rather than sent again; nothing is decided about the fleet by a leader that hears nobody; a machine on which a later task lasts is not sick, only a task's first failure counts; four look-ups wait at most, and ends are told from the changes that a node reads anyway; jobs that are done move only when the service is not short; loaned replicas are sized for.

--- a/api/api.go
+++ b/api/api.go
@@ -213,7 +213,7 @@
 	u.mu.Lock()
 	rec, cached := u.over[uid]
 	if u.jobs == nil {
-		u.jobs = &view{st: u.Store, ck: u.Clock, count: u.Counts, pause: u.Store.Pause(), live: map[string]bool{}}
+		u.jobs = &view{st: u.Store, ck: u.Clock, count: u.Counts, over: u.remember, pause: u.Store.Pause(), live: map[string]bool{}}
 	}
 	jobs := u.jobs
 	u.mu.Unlock()
@@ -231,6 +231,12 @@
 		}
 		return v, nil
 	}
+	u.mu.Lock()
+	rec, cached = u.over[uid]
+	u.mu.Unlock()
+	if cached {
+		return final(uid, &rec), nil
+	}
 	if at == settled {
 		// Over, in its record still or in its final place by now.
 		_, over, err := u.lookup(ctx, uid)
@@ -258,8 +264,16 @@
 	return v
 }
 
+// maxLookups is how many look-ups of single jobs may wait for this node's share
+// of the state service's requests. Each that is not known here takes one, jobs
+// that nobody submitted included; the reads that answer all others share it.
+const maxLookups = 4
+
 // finished reads a job's final state.
 func (u *Users) finished(ctx context.Context, uid string) (*store.OverRecord, error) {
+	if u.Store.Waiting() > maxLookups {
+		return nil, fmt.Errorf("look up %s: %w", uid, store.ErrBusy)
+	}
 	row, found, err := u.Store.Get(ctx, store.Urgent, store.OverKey(uid))
 	if err != nil {
 		return nil, err
--- a/api/intake.go
+++ b/api/intake.go
@@ -42,7 +42,7 @@
 	maxBatchSize = 40 << 10
 	// patience is how long a submission may wait for its turn, and lowPatience the
 	// same for one of the lowest rank: the others go before it.
-	patience    = 800 * time.Millisecond
+	patience    = 1500 * time.Millisecond
 	lowPatience = 100 * time.Millisecond
 	// busyTries is how often a change is tried while the service has too much to do.
 	busyTries = 4
--- a/api/view.go
+++ b/api/view.go
@@ -7,7 +7,6 @@
 
 	"cedardoor/clock"
 	"cedardoor/store"
-	"cedardoor/wire"
 )
 
 // view answers many queries with few reads. It keeps which jobs are unfinished
@@ -19,7 +18,8 @@
 	st    *store.Client
 	ck    *clock.Clock
 	count func(ctx context.Context, uids []string) map[string][2]int
-	pause clock.Micros // least time between reads
+	over  func(uid string, rec store.OverRecord) // told of final states that changes bring, if set
+	pause clock.Micros                           // least time between reads
 
 	mu     sync.Mutex      // guards all below
 	live   map[string]bool // the jobs that have a record among the unfinished: true, or false if it says that they are over
@@ -129,7 +129,12 @@
 			v.mu.Lock()
 			for _, ev := range ch.Events {
 				if ev.Set != "" {
-					v.live[ev.Set[min(len(store.PrefixJob), len(ev.Set)):]] = !isOver(ev.Value)
+					uid := ev.Set[min(len(store.PrefixJob), len(ev.Set)):]
+					over := store.OverIn(ev.Value)
+					v.live[uid] = over == nil
+					if over != nil && v.over != nil {
+						v.over(uid, *over) // most polls of a job that is done need no look-up
+					}
 				} else {
 					delete(v.live, ev.Delete[min(len(store.PrefixJob), len(ev.Delete)):])
 				}
@@ -148,7 +153,7 @@
 	}
 	live := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = !isOver(row.Value)
+		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = store.OverIn(row.Value) == nil
 	}
 	v.mu.Lock()
 	v.live, v.epoch, v.loaded = live, epoch, true
@@ -156,11 +161,3 @@
 	// A listing of several pages is not of one moment: the changes since make it so.
 	return v.catchUp(ctx)
 }
-
-// isOver tells whether a job's record says that it is over.
-func isOver(value []byte) bool {
-	var rec struct {
-		Over *struct{} `msgpack:"o"`
-	}
-	return wire.Unmarshal(value, &rec) == nil && rec.Over != nil
-}
--- a/boots.go
+++ b/boots.go
@@ -115,5 +115,8 @@
 			out[w.m] = true
 		}
 	}
+	if len(late) > 0 {
+		g.log.Debug("machines are late", "late", len(late), "longest", late[0].share, "in_time", inTime, "slow", slow, "general", general, "counted_out", len(out), "given_up", len(givenUp))
+	}
 	return out, givenUp
 }
--- a/boots_test.go
+++ b/boots_test.go
@@ -114,3 +114,28 @@
 		}
 	}
 }
+
+// A leader that hears no worker any more is cut off itself: it rents no second
+// fleet before it gives the lead up.
+func TestNothingIsRentedByALeaderThatHearsNobody(t *testing.T) {
+	for _, machines := range []int{3, 14} {
+		s, n, g, ws := crew(t, machines)
+		s.submit(n, spec("j-1", func(sp *wire.Spec) {
+			sp.Pieces, sp.Cores, sp.Shape, sp.Rank, sp.ExpectS = machines, 6, wire.ShapeStanding, "critical", 0
+		}))
+		s.resync(g)
+		s.pass(g, ws, 20)
+		for range 4 {
+			g.resize(t.Context()) // what is short is rented while they are heard
+		}
+		before := len(s.cloud.Asked())
+		for range 8 {
+			s.advance(time.Second)
+			g.step(t.Context())
+			g.resize(t.Context())
+		}
+		if more := s.cloud.Asked()[before:]; len(more) != 0 {
+			t.Errorf("%d machines silent at once: rented %+v", machines, more)
+		}
+	}
+}
--- a/engine.go
+++ b/engine.go
@@ -91,6 +91,9 @@
 
 func (j *job) standing() bool { return j.spec.Shape == wire.ShapeStanding }
 
+// unhurried tells whether the job is work that runs when there is room.
+func (j *job) unhurried() bool { return j.rank == wire.RankLow && !j.standing() && !j.group() }
+
 // group tells whether the job's tasks run only all together.
 func (j *job) group() bool { return j.spec.Shape == wire.ShapeGroup }
 
@@ -132,19 +135,20 @@
 	queue    map[*job]bool           // jobs with tasks that wait
 	slab     *slab                   // takes the single tasks of the next jobs
 	slabN    int
-	asked    map[string]clock.Micros         // machines rented by this reign and not up yet, by when they were asked for
-	boots    []boot                          // how long machines took lately
-	paced    float64                         // tasks of the lowest rank that may be started
-	pacedAt  clock.Micros                    // when that was counted
-	untidy   map[*slab]bool                  // hold rows of jobs that are over
-	filings  []*filing                       // done, and still to move to their final place
-	pic      *plan.Picture                   // kept up to date from what was touched
-	touched  map[*fleet.Machine]bool         // machines that the picture is behind on
-	toTell   map[*fleet.Machine]bool         // machines with orders that should not wait for a beat
-	strikes  map[*fleet.Machine]map[*job]int // failures since anything was done there, by job
-	unheard  map[*fleet.Machine]bool         // recorded by a predecessor, and silent since
-	holds    map[string]string               // machines whose room is kept for a job
-	fresh    bool                            // jobs came that no plan has seen
+	asked    map[string]clock.Micros     // machines rented by this reign and not up yet, by when they were asked for
+	boots    []boot                      // how long machines took lately
+	paced    float64                     // tasks of the lowest rank that may be started
+	pacedAt  clock.Micros                // when that was counted
+	untidy   map[*slab]bool              // hold rows of jobs that are over
+	careful  int                         // transactions that still hold one change only, since one was refused
+	filings  []*filing                   // done, and still to move to their final place
+	pic      *plan.Picture               // kept up to date from what was touched
+	touched  map[*fleet.Machine]bool     // machines that the picture is behind on
+	toTell   map[*fleet.Machine]bool     // machines with orders that should not wait for a beat
+	strikes  map[*fleet.Machine]*strikes // failures since anything was done there, by job
+	unheard  map[*fleet.Machine]bool     // recorded by a predecessor, and silent since
+	holds    map[string]string           // machines whose room is kept for a job
+	fresh    bool                        // jobs came that no plan has seen
 	hushAt   clock.Micros
 	probedAt clock.Micros
 	ctx      context.Context // the reign's, for questions that a report raises; nil before it runs
@@ -194,7 +198,7 @@
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
-		strikes: map[*fleet.Machine]map[*job]int{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
+		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
 		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
 	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
@@ -300,7 +304,7 @@
 	for _, row := range jobs {
 		uid := strings.TrimPrefix(row.Path, store.PrefixJob)
 		there[uid] = true
-		if over := overIn(row.Value); over != nil {
+		if over := store.OverIn(row.Value); over != nil {
 			left[uid], done[uid] = leftOf(uid, over), true
 			g.filings = append(g.filings, &filing{uid: uid, stamp: row.Stamp, rec: *over})
 		}
@@ -471,17 +475,6 @@
 	pc.state, pc.booking = piecePlaced, b
 }
 
-// overIn gives the final state that a job's record holds, if it is over.
-func overIn(value []byte) *store.OverRecord {
-	var rec struct {
-		Over *store.OverRecord `msgpack:"o"`
-	}
-	if wire.Unmarshal(value, &rec) != nil {
-		return nil
-	}
-	return rec.Over
-}
-
 // leftOf is what the tasks of a job that is over take, where some are left.
 func leftOf(uid string, rec *store.OverRecord) wire.Spec {
 	return wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Pieces}
@@ -490,7 +483,7 @@
 func (g *reign) booking(j *job, index int, try uint64) *fleet.Booking {
 	s := &j.spec
 	return &fleet.Booking{Tag: j, Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
-		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0}
+		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithBeat: j.unhurried()}
 }
 
 // addJob takes an accepted job in. The caller holds mu.
@@ -735,9 +728,12 @@
 		if j.done == len(j.pieces) {
 			g.dirty[j.uid] = true
 		}
-		delete(g.strikes, m)
+		if g.strikes[m] != nil {
+			delete(g.strikes, m)
+			g.touched[m] = true
+		}
 		if j.trial.doubtful() {
-			g.works(j)
+			g.works(j, now)
 		}
 		j.trial.good = true
 		// The start of an adopted attempt was not seen: it would look short, and
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,11 @@
 	Since   clock.Micros // reserved at
 	Tag     any          // the leader's own record of the task's job
 
+	// WithBeat: the run goes only with answers to beats. Those die with the next
+	// beat, so that nothing need be fenced before results are forgotten, and a
+	// machine that runs short tasks reports often anyway.
+	WithBeat bool
+
 	Recorded bool         // durable: may be sent
 	Adopted  bool         // recorded by a predecessor
 	Status   string       // as last reported; empty before the first report
@@ -79,11 +84,6 @@
 // Sent tells when the run was first sent; zero if never.
 func (b *Booking) Sent() clock.Micros { return b.firstSent }
 
-// Unhurried tells whether the run goes only with answers to beats: those die with
-// the next beat, so that nothing need be fenced before results are forgotten, and
-// a machine that runs short tasks reports often anyway.
-func (b *Booking) Unhurried() bool { return b.Rank == wire.RankLow }
-
 // Live tells whether the task may be on its machine or may come to be.
 func (b *Booking) Live() bool { return !b.Ended }
 
@@ -817,7 +817,7 @@
 				left := max(0, b.Leeway-(now-b.HaltAt).Seconds())
 				orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: b.Piece.String(), Try: b.Try, LeewayS: &left})
 			}
-		case b.Recorded && mayRun && b.Status == "" && b.flying == 0 && (viaBeat || !b.Unhurried()):
+		case b.Recorded && mayRun && b.Status == "" && b.flying == 0 && (viaBeat || !b.WithBeat):
 			runs = append(runs, wire.Order{Verb: wire.VerbRun, Piece: b.Piece.String(), Try: b.Try})
 			if viaBeat {
 				b.beatTally = m.Tally
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -31,7 +31,7 @@
 	f.Report(1, rep(1, 1, 0), true)
 	m := f.Machine("n-1")
 	f.Answered(m, 1, 5)
-	b := &Booking{Rank: wire.RankHigh, Piece: piece0, Try: 1, Tenure: 1, Cores: 2, RAM: 4}
+	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2, RAM: 4}
 	f.Reserve(m, b, 1)
 	b.Recorded = true
 	return f, m, b
@@ -116,7 +116,7 @@
 		if f.Crowded() {
 			t.Fatalf("presses after %d results", i)
 		}
-		b := &Booking{Rank: wire.RankHigh, Piece: PieceID{Job: "j-2", Index: i}, Try: 1, Tenure: 1}
+		b := &Booking{Piece: PieceID{Job: "j-2", Index: i}, Try: 1, Tenure: 1}
 		f.Reserve(m, b, 2)
 		f.release(b, 3)
 	}
@@ -130,7 +130,7 @@
 	f, m, _ := booked(t)
 	const n = 3 * maxOrders / 2
 	for i := range n {
-		b := &Booking{Rank: wire.RankHigh, Piece: PieceID{Job: "j-123456789", Index: 10000 + i}, Try: 123456, Tenure: 1, Cores: 0.001}
+		b := &Booking{Piece: PieceID{Job: "j-123456789", Index: 10000 + i}, Try: 123456, Tenure: 1, Cores: 0.001}
 		f.Reserve(m, b, 2)
 		b.Recorded = true
 	}
@@ -219,7 +219,7 @@
 func TestAdoptedRunIsRepeated(t *testing.T) {
 	f := New(lease, report, 5)
 	m := f.Ensure("n-1", 1)
-	b := &Booking{Rank: wire.RankHigh, Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
+	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
 	f.Adopt(m, b, 1)
 	f.Report(2, rep(1, 7, 4), true)
 	f.Answered(m, 2, 5)
@@ -269,7 +269,7 @@
 		}},
 		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, b *Booking) {
 			f.Report(3, rep(2, 1, 5), true)
-			b2 := &Booking{Rank: wire.RankHigh, Piece: piece0, Try: 2, Tenure: 2, Cores: 2}
+			b2 := &Booking{Piece: piece0, Try: 2, Tenure: 2, Cores: 2}
 			f.Reserve(m, b2, 3)
 			b2.Recorded = true
 			f.Orders(m, 3, true, true)
@@ -294,7 +294,7 @@
 	f := New(lease, report, 5)
 	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
 	m := f.Ensure("n-1", 1)
-	b := &Booking{Rank: wire.RankHigh, Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
+	b := &Booking{Piece: piece0, Try: 1, Tenure: 1, Cores: 2}
 	f.Adopt(m, b, 1)
 	if news, _ := f.Report(2, rep(1, 3, 4), true); gone(news) || !b.Live() {
 		t.Fatal("a copy from before the run proved it absent")
@@ -336,8 +336,8 @@
 func TestNewProcessCountsAgain(t *testing.T) {
 	f, m, b := booked(t)
 	f.Report(2, rep(3, 40, 5), true)
-	sure := &Booking{Rank: wire.RankHigh, Piece: PieceID{Job: "j-2"}, Try: 1, Tenure: 3, Cores: 1}
-	doubtful := &Booking{Rank: wire.RankHigh, Piece: PieceID{Job: "j-3"}, Try: 1, Tenure: 3, Cores: 1}
+	sure := &Booking{Piece: PieceID{Job: "j-2"}, Try: 1, Tenure: 3, Cores: 1}
+	doubtful := &Booking{Piece: PieceID{Job: "j-3"}, Try: 1, Tenure: 3, Cores: 1}
 	f.Reserve(m, sure, 3)
 	sure.Recorded = true
 	f.Orders(m, 3, true, true)
@@ -403,7 +403,7 @@
 			name := fmt.Sprintf("n-%d", i)
 			f.Report(1, &wire.Beat{Host: name, Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 1, Warrant: 5}, true)
 			for k := range tasks {
-				b := &Booking{Rank: wire.RankHigh, Piece: PieceID{Job: "j-1", Index: i*tasks + k}, Try: 1, Tenure: 1, Cores: 1}
+				b := &Booking{Piece: PieceID{Job: "j-1", Index: i*tasks + k}, Try: 1, Tenure: 1, Cores: 1}
 				f.Reserve(f.Machine(name), b, 1)
 				b.Recorded = true
 				if i == 0 {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -23,23 +23,30 @@
 type State struct {
 	clk clockwork.Clock
 
-	mu     sync.Mutex // guards all below
-	epoch  uint64
-	rows   map[string]wire.Row
-	holds  map[uint64]*hold
-	log    []entry
-	oldest uint64
-	change chan struct{}
-	refuse map[string]bool
-	lose   int
-	late   []wire.Txn
-	past   []wire.Txn
-	delay  bool
-	puts   int
-	asked  int
-	stall  chan struct{}
+	mu      sync.Mutex // guards all below
+	epoch   uint64
+	rows    map[string]wire.Row
+	holds   map[uint64]*hold
+	log     []entry
+	oldest  uint64
+	change  chan struct{}
+	refuse  map[string]bool
+	lose    int
+	late    []wire.Txn
+	past    []wire.Txn
+	delay   bool
+	puts    int
+	tooMany int // transactions refused for their size
+	asked   int
+	stall   chan struct{}
 }
 
+// maxOps is how many changes a transaction may hold, and a quarter of its conditions.
+const maxOps = 24
+
+// TooMany is how many transactions were refused for their size.
+func (s *State) TooMany() int { s.mu.Lock(); defer s.mu.Unlock(); return s.tooMany }
+
 type hold struct {
 	ttl time.Duration
 	end time.Time
@@ -181,6 +188,10 @@
 // commit executes a transaction. The caller holds mu.
 func (s *State) commit(t wire.Txn) (status int, body any) {
 	s.lapse()
+	if len(t.Apply) > maxOps || len(t.When) > 4*maxOps {
+		s.tooMany++
+		return http.StatusBadRequest, wire.Error{Error: "too many operations"}
+	}
 	var failed []string
 	for _, w := range t.When {
 		if s.rows[w.Path].Stamp != w.Stamp {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -82,7 +82,7 @@
 		case o.Verb == wire.VerbRun && p == nil:
 			w.starts = append(w.starts, k)
 			st := &wire.PieceReport{Piece: o.Piece, Try: o.Try, Status: wire.PieceRunning}
-			if job, _, _ := strings.Cut(o.Piece, "/"); w.fail || w.bad[job] {
+			if job, _, _ := strings.Cut(o.Piece, "/"); w.fail || w.bad[job] || w.bad[o.Piece] {
 				st.Status, st.Cause = wire.PieceEnded, wire.CauseError
 			}
 			w.pieces[k] = st
@@ -122,7 +122,7 @@
 // Fail makes every task fail as it starts.
 func (w *Worker) Fail(yes bool) { w.mu.Lock(); defer w.mu.Unlock(); w.fail = yes }
 
-// FailJob makes every task of a job fail as it starts.
+// FailJob makes every task of a job, or one task, fail as it starts.
 func (w *Worker) FailJob(uid string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"testing"
+	"time"
 )
 
 func TestAskAndStrangers(t *testing.T) {
@@ -49,3 +50,58 @@
 	l.conn.Close()
 	ask()
 }
+
+// A controller that is silent takes connections and answers nothing. No question
+// to it waits beyond its own time, whoever asks before it, and no connection is
+// left behind.
+func TestSilentPeerHoldsNobody(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ended := make(chan struct{}, 64)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(io.Discard, conn) // until the other side ends it
+				conn.Close()
+				ended <- struct{}{}
+			}()
+		}
+	}()
+	l := NewLink(ln.Addr().String())
+	const asks = 12
+	failed := make(chan error, asks)
+	for range asks {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 40*time.Millisecond)
+			defer cancel()
+			_, err := l.Ask(ctx, Ask{Attest: true})
+			failed <- err
+		}()
+	}
+	limit := time.After(5 * time.Second)
+	for range asks {
+		select {
+		case err := <-failed:
+			if err == nil {
+				t.Error("a silent controller answered")
+			}
+		case <-limit:
+			t.Fatal("a question to a silent controller still waits")
+		}
+	}
+	if l.conn != nil {
+		t.Error("its connection is kept")
+	}
+	select {
+	case <-ended:
+	case <-limit:
+		t.Error("its connection was not closed")
+	}
+}
--- a/picture.go
+++ b/picture.go
@@ -8,7 +8,6 @@
 	"cedardoor/clock"
 	"cedardoor/fleet"
 	"cedardoor/plan"
-	"cedardoor/wire"
 )
 
 // usable tells whether a machine may be given tasks.
@@ -62,6 +61,10 @@
 		delete(g.strikes, m)
 		return false
 	}
+	if m.FailingUntil > 0 && m.FailingUntil <= now {
+		m.FailingUntil = 0
+		g.sicken(m, now)
+	}
 	g.judge(m)
 	if pm == nil {
 		pm = &plan.Machine{Name: m.Name, Images: map[string]plan.Image{}}
@@ -83,6 +86,7 @@
 			pm.Images[b] = plan.ImageHeld
 		}
 	}
+	pm.Struck = g.strikes[m] != nil
 	again = m.FailingUntil > now // looked at again when that is over
 	pm.StopCores, pm.StopAccel, pm.StopRAM = 0, 0, 0
 	pm.Lower = pm.Lower[:0]
@@ -134,6 +138,7 @@
 	p.Seed, p.Now = g.seq, now
 	p.MoveCap = max(g.op.Repair.Restarts, int(float64(g.replicas)*g.op.Repair.Share))
 	p.Waiting, p.Candidates = p.Waiting[:0], p.Candidates[:0]
+	p.AvoidStruck = 2*len(g.strikes) < g.fl.Reporting()
 	g.entitle(now)
 	wall := g.ck.Wall()
 	const perPass = 400 // tasks of one job offered to one pass
@@ -151,7 +156,7 @@
 			pj.Probe = j.trial.doubtful()
 		}
 		most := perPass
-		if j.rank == wire.RankLow && !j.standing() {
+		if j.unhurried() {
 			if most = min(perPass, low); most <= 0 {
 				continue
 			}
@@ -207,7 +212,7 @@
 // any of its class should wait. Where jobs have no deadlines, the first come
 // goes first: by the class's aims, long jobs would go before short ones.
 func (j *job) slack(wall clock.Micros) clock.Micros {
-	if j.due == 0 && (j.rank != wire.RankLow || j.finish == 0) {
+	if j.due == 0 && (!j.unhurried() || j.finish == 0) {
 		return noSlack
 	}
 	if j.due == 0 {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -42,6 +42,7 @@
 	Lower                         []Victim // tasks that may be preempted, cheapest first
 	Held                          string   // the job that its room is kept for, if any
 	Fetch                         float64  // GB of images a second
+	Struck                        bool     // tasks have failed on it since any was done there
 
 	leaving int
 	at      place
@@ -124,6 +125,9 @@
 	Seed       uint64
 	Preempt    bool
 	Now        clock.Micros
+	// AvoidStruck keeps jobs on trial off machines on which tasks have failed: what
+	// they show there says little.
+	AvoidStruck bool
 
 	index *index
 }
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -38,11 +38,14 @@
 	return m.Usable && m.Banned == "" && !m.Cordoned
 }
 
-// Shun keeps a job's tasks off the machines on which one of them has failed.
+// Shun keeps a job's tasks off the machines on which one of them has failed, and
+// jobs on trial off all on which any has.
 type Shun struct{}
 
 // Allows implements Rule.
-func (Shun) Allows(_ *Picture, j *Job, m *Machine) bool { return !j.Shun[m.Name] }
+func (Shun) Allows(p *Picture, j *Job, m *Machine) bool {
+	return !j.Shun[m.Name] && !(j.Probe && m.Struck && p.AvoidStruck)
+}
 
 // Held keeps the room of a machine for the job that has waited too long for it.
 type Held struct{}
--- a/record.go
+++ b/record.go
@@ -136,7 +136,11 @@
 	g.seq++
 	w := &write{nonce: fmt.Sprintf("%d.%d", g.r.Stamp, g.seq), slabs: map[*slab]bool{}}
 	w.txn.When = []wire.When{{Path: store.KeyLead, Stamp: g.r.Stamp}}
-	spare := max(atLeast, g.st.Spare())
+	spare, all := max(atLeast, g.st.Spare()), g.cfg.Facts.State.TxnOps
+	if g.careful > 0 {
+		g.careful--
+		spare, all = 1, 1
+	}
 	uids := make([]string, 0, len(g.dirty))
 	for uid := range g.dirty {
 		uids = append(uids, uid)
@@ -150,7 +154,7 @@
 			delete(g.dirty, uid)
 			continue
 		}
-		most := g.cfg.Facts.State.TxnOps
+		most := all
 		if g.urgency(uid) < int(wire.RankStandard) {
 			most = min(most, spare)
 		}
@@ -166,6 +170,7 @@
 		case j.slab != nil:
 			clean = g.collectSlab(w, j.slab)
 		default:
+			before := len(w.txn.Apply)
 			for n := range j.chunks {
 				c := &j.chunks[n]
 				if c.seq == c.saved {
@@ -177,7 +182,10 @@
 				}
 				g.collectChunk(w, j, n)
 			}
-			w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(uid), Stamp: j.stamp})
+			if len(w.txn.Apply) > before {
+				// Only with a change of its own: conditions are limited, too.
+				w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(uid), Stamp: j.stamp})
+			}
 		}
 		if clean {
 			delete(g.dirty, uid)
@@ -283,16 +291,19 @@
 // records again that hold rows of them, when nothing else is to be recorded.
 func (g *reign) collectFilings(w *write) {
 	spare := min(g.cfg.Facts.State.TxnOps, g.st.Spare())
-	if spare < min(filingsAt, g.cfg.Facts.State.TxnOps) && len(g.filings) < manyFilings {
+	if (spare < min(filingsAt, g.cfg.Facts.State.TxnOps) || g.st.Pressed()) && len(g.filings) < manyFilings {
 		return
 	}
-	for len(g.filings) > 0 && len(w.txn.Apply)+3 <= max(3, spare) {
+	for len(g.filings) > 0 && len(w.txn.Apply)+3 <= max(3, spare) && len(w.txn.When) < 3*g.cfg.Facts.State.TxnOps {
 		f := g.filings[0]
 		g.filings = g.filings[1:]
 		// A row that outlived its job's record would have to be looked up by a new leader.
 		if f.slab != nil && f.slab.stamp > 0 {
+			if !g.collectSlab(w, f.slab) {
+				g.filings = append(g.filings, f)
+				break
+			}
 			delete(g.untidy, f.slab)
-			g.collectSlab(w, f.slab)
 		}
 		w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(f.uid), Stamp: f.stamp})
 		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: store.JobKey(f.uid)}, wire.Apply{Set: store.OverKey(f.uid), Value: f.rec})
@@ -302,8 +313,10 @@
 		if len(w.txn.Apply) >= spare {
 			break
 		}
+		if !g.collectSlab(w, s) {
+			break
+		}
 		delete(g.untidy, s)
-		g.collectSlab(w, s)
 	}
 }
 
@@ -353,8 +366,15 @@
 			return g.conflict(ctx, w, conflict.Failed)
 		}
 		g.log.Debug("record", "error", err)
-		if errors.Is(err, store.ErrBadAnswer) {
-			g.log.Error("record refused", "error", err)
+		if errors.Is(err, store.ErrMalformed) {
+			// Never carried out, and never will be: what it held is recorded in steps as
+			// small as can be, so that one that is at fault keeps nothing else up for ever.
+			g.log.Error("record refused", "error", err, "changes", len(w.txn.Apply), "conditions", len(w.txn.When))
+			g.mu.Lock()
+			g.careful = carefulFor
+			g.restore(w, nil)
+			g.mu.Unlock()
+			return ctx.Err() == nil
 		}
 		g.sleep(ctx, pause)
 		pause = min(2*pause, clock.Second)
@@ -503,9 +523,19 @@
 		}
 		g.mu.Unlock()
 	}
-	// Not applied, and its conditions can never hold again: what it held is due once more.
+	// Not applied, and its conditions can never hold again.
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.restore(w, failed)
+	return true
+}
+
+// carefulFor is how many transactions hold one change after one was refused.
+const carefulFor = 30
+
+// restore makes what a transaction that will never be applied held due once more,
+// but for moves whose conditions failed. The caller holds mu.
+func (g *reign) restore(w *write, failed []string) {
 	for _, wr := range w.chunks {
 		c := wr.c
 		c.ending = append(c.ending, wr.ended...)
@@ -530,5 +560,4 @@
 	for _, j := range append(w.over, w.gone...) {
 		g.dirty[j.uid] = true
 	}
-	return true
 }
--- a/silent.go
+++ b/silent.go
@@ -254,6 +254,22 @@
 	return cutReports*report + clock.Second
 }
 
+// hearsNobody tells whether all workers have fallen silent at once: that is this
+// controller's network, and nothing is rented in their stead by one that is about
+// to give the lead up. The caller holds mu.
+func (g *reign) hearsNobody(now clock.Micros) bool {
+	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
+	quiet := now - max(g.heard, g.r.Since, g.awake)
+	switch n := g.fl.Reporting(); {
+	case n == 0:
+		return len(g.unheard) >= 2 && quiet > report // nor did any find this new leader
+	case n >= manyReport:
+		return quiet > report+report/4
+	default:
+		return n >= 2 && quiet > 2*report
+	}
+}
+
 // abdicate gives leadership up when no worker at all is heard any more, or
 // none hears: this node may be cut off from them while another is not. If
 // nobody reaches them, leadership goes round, which harms nothing.
--- a/sizing.go
+++ b/sizing.go
@@ -245,7 +245,7 @@
 func (g *reign) demand(now clock.Micros) cloud.Need {
 	f := &g.op.Fleet
 	need := cloud.Need{Reserve: f.ReserveOD, ReserveMachine: f.ReserveMachine, ReserveZone: f.ReserveZone, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
-	var work, all, pressing cloud.Load
+	var work, all, pressing, lasting cloud.Load // lasting: replicas that spot machines may hold
 	wall := g.ck.Wall()
 	for _, j := range g.jobs {
 		if j.cancelled {
@@ -273,8 +273,12 @@
 			need.Apart = need.Apart || s.Apart
 			continue
 		}
+		if j.standing() {
+			add(&lasting, float64(running+waiting))
+			continue
+		}
 		run := g.laneRun(j).Seconds()
-		if j.rank == wire.RankLow {
+		if j.unhurried() {
 			// What runs when there is room says nothing of what will come.
 			j.counted = true
 			drain, patient := g.idleDrains(j, run, wall)
@@ -342,6 +346,12 @@
 	if work.Cores > need.Loaned.Cores {
 		need.Loaned = work
 	}
+	need.Loaned.Cores += lasting.Cores
+	need.Loaned.RAM += lasting.RAM
+	need.Loaned.Accel += lasting.Accel
+	need.Pressing.Cores += lasting.Cores
+	need.Pressing.RAM += lasting.RAM
+	need.Pressing.Accel += lasting.Accel
 	// What was needed a short while ago is likely to be needed again before a new
 	// machine could be up: only what has been too much for a while is given up.
 	// Replicas arrive faster at some times than at others, and a machine takes a
@@ -465,6 +475,10 @@
 		return
 	}
 	now := g.ck.Now()
+	if g.hearsNobody(now) {
+		g.mu.Unlock()
+		return
+	}
 	var held []cloud.Held
 	var giveUp []string
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
--- a/step.go
+++ b/step.go
@@ -127,7 +127,7 @@
 		if j.pj.Probe {
 			g.tried(j, now)
 		}
-		if j.rank == wire.RankLow {
+		if j.unhurried() {
 			g.paced--
 		}
 		g.fl.Reserve(m, b, now)
@@ -244,7 +244,7 @@
 		if !b.Live() || b.Tenure != m.Tenure {
 			return
 		}
-		if b.Recorded && !b.Halt && b.Sent() == 0 && !b.Unhurried() || b.Halt && !b.Urged {
+		if b.Recorded && !b.Halt && b.Sent() == 0 && !b.WithBeat || b.Halt && !b.Urged {
 			urgent = true
 			b.Urged = b.Halt
 		}
--- a/still_test.go
+++ b/still_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cedardoor/cloud"
+	"cedardoor/internal/standin"
 	"cedardoor/wire"
 )
 
@@ -69,8 +70,13 @@
 	n := s.node(nil)
 	g, _ := s.elect(n)
 	hosts := []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"}
+	var first *standin.Worker
 	for i, h := range hosts {
-		beat(t, g, s.worker(h, []string{"x", "y"}[i%2], i > 2))
+		w := s.worker(h, []string{"x", "y"}[i%2], i > 2)
+		beat(t, g, w)
+		if first == nil {
+			first = w
+		}
 	}
 	for _, h := range hosts {
 		g.mu.Lock()
@@ -93,10 +99,11 @@
 	if _, ok := n.el.MayAnswer(); !ok {
 		t.Error("gave the lead up on waking")
 	}
-	// From then on silence counts as ever.
+	// From then on silence counts as ever, while one is heard.
 	for range 50 {
 		s.advance(time.Second)
 		g.pulse()
+		beat(t, g, first)
 	}
 	g.resize(t.Context())
 	if len(s.cloud.Returns()) == 0 {
--- a/store/client.go
+++ b/store/client.go
@@ -30,6 +30,8 @@
 	ErrUnknown = errors.New("state service gave no answer")
 	// ErrNoHold means that a hold has ended.
 	ErrNoHold = errors.New("no such hold")
+	// ErrMalformed means that the service would not take a transaction as it is.
+	ErrMalformed = errors.New("state service calls the transaction malformed")
 	// ErrTooOld means that a watch began too far back.
 	ErrTooOld = errors.New("watch is too old")
 	// ErrBadAnswer means that the service's answer could not be understood.
@@ -68,6 +70,7 @@
 	nodes    int
 	timeout  time.Duration
 	retry    *rate.Limiter
+	pressed  atomic.Int64 // when the service last had too much to do for a request, in microseconds
 	failing  atomic.Int32 // requests in a row without an answer, or refused by the service
 }
 
@@ -158,13 +161,25 @@
 	if yes {
 		c.users.SetLimit(rate.Limit(max(leastUsers*c.limits.WriteRPS/float64(c.nodes), 0.6*now)))
 	} else if now < most {
-		c.users.SetLimit(rate.Limit(min(most, now+0.01*most)))
+		c.users.SetLimit(rate.Limit(min(most, now+0.03*most)))
 	}
 }
 
+// Waiting is how many requests wait for this node's share of the service's.
+func (c *Client) Waiting() int { return int(-c.requests.Tokens()) }
+
 // Spare is how many changes could be made right now without waiting.
 func (c *Client) Spare() int { return int(c.writes.Tokens()) }
 
+// pressedFor is how long the service counts as short after it has said so.
+const pressedFor = 3 * clock.Second
+
+// Pressed tells whether the service has lately had too much to do for a request:
+// what can wait, waits.
+func (c *Client) Pressed() bool {
+	return clock.Micros(time.Now().UnixMicro()-c.pressed.Load()) < pressedFor
+}
+
 func (c *Client) admit(ctx context.Context, prio Priority, puts int) error {
 	if prio == Vital {
 		// These take their tokens without waiting for them.
@@ -201,6 +216,7 @@
 	}
 	switch {
 	case err == nil && status == http.StatusTooManyRequests:
+		c.pressed.Store(time.Now().UnixMicro())
 		return status, nil, fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
 	case err == nil && status == http.StatusServiceUnavailable:
 		return status, nil, fmt.Errorf("%w: status %d", ErrRefused, status)
@@ -320,6 +336,7 @@
 		if wire.Unmarshal(raw, &e) == nil && e.Error == "no such lease" {
 			return 0, ErrNoHold
 		}
+		return 0, fmt.Errorf("%w: %.120q", ErrMalformed, raw)
 	}
 	return 0, unexpected(status, raw)
 }
--- a/store/records.go
+++ b/store/records.go
@@ -111,6 +111,18 @@
 	return OverRecord{Status: status, Pieces: s.Pieces, Nonce: nonce, Owner: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM}
 }
 
+// OverIn gives the final state that a job's record holds; nil when the job is
+// not over.
+func OverIn(value []byte) *OverRecord {
+	var rec struct {
+		Over *OverRecord `msgpack:"o"`
+	}
+	if wire.Unmarshal(value, &rec) != nil {
+		return nil
+	}
+	return rec.Over
+}
+
 // Placed is a task's recorded attempt: an empty Host means that it waits.
 type Placed struct {
 	Index  int
--- a/swarm_test.go
+++ b/swarm_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cedardoor/config"
 	"cedardoor/internal/standin"
 	"cedardoor/store"
 	"cedardoor/wire"
@@ -243,3 +244,122 @@
 		t.Errorf("%.3f and %.3f changes, %.1f and %.1f visits a task of 5,000 and 25,000", c1, c2, v1, v2)
 	}
 }
+
+// The lowest rank's starts follow the controller's share of a processor, however
+// much room there is; work of higher rank does not wait for them.
+func TestLowWorkIsPaced(t *testing.T) {
+	s := newSite(t)
+	n := s.node(func(f *config.Facts) { f.Limits.CoreShare = 0.1 })
+	g, _ := s.elect(n)
+	var ws []*standin.Worker
+	for i := range 16 {
+		w := s.worker(fmt.Sprintf("n-%02d", i+1), "x", true)
+		beat(t, g, w)
+		ws = append(ws, w)
+	}
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.RAM = "low", 5000, 0.05, 0.1 }))
+	s.submit(n, spec("j-2", func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.RAM = "standard", 300, 0.05, 0.1 }))
+	s.resync(g)
+	placed := func(uid string) int {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.jobs[uid].prune()
+		return len(g.jobs[uid].pieces) - len(g.jobs[uid].waiting)
+	}
+	s.pass(g, ws, 1)
+	first := placed("j-1")
+	s.pass(g, ws, 4)
+	if got := placed("j-1") - first; got < 450 || got > 750 {
+		t.Errorf("%d tasks of the lowest rank began in 4 s, want 150 a second", got)
+	}
+	if got := placed("j-2"); got != 300 {
+		t.Errorf("%d of 300 tasks of higher rank began", got)
+	}
+}
+
+// A storm of questions about jobs that nobody submitted: what can't be looked up
+// is refused at once, and jobs that run are answered for as ever.
+func TestStormOfUnknownJobs(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	_, _ = s.elect(n)
+	s.submit(n, spec("j-1", nil))
+	if code, _, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); code != http.StatusOK {
+		t.Fatalf("poll: %d", code)
+	}
+	small := n.cfg.Facts.State
+	small.RPS = 20
+	n.users.Store = store.New(n.cfg.Outside.State, small, 5)
+	codes := make(chan int)
+	for k := range 100 {
+		go func() {
+			code, _, _ := s.ask(n, http.MethodGet, fmt.Sprintf("%s/j-9%d", wire.PathRuns, k), nil)
+			codes <- code
+		}()
+	}
+	got := map[int]int{}
+	for range 100 {
+		got[<-codes]++
+	}
+	if got[http.StatusNotFound] == 0 || got[http.StatusServiceUnavailable] < 60 || len(got) != 2 {
+		t.Errorf("answers by status: %v", got)
+	}
+	if code, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); code != http.StatusOK || v.Status != wire.JobQueued {
+		t.Errorf("a job that runs, in the storm: %d %+v", code, v)
+	}
+}
+
+// Whatever is due at a time, a transaction keeps to the changes and conditions
+// that the state service takes: one that does not is refused for ever, and
+// everything behind it waits. If one is refused all the same, the rest goes on.
+func TestTransactionsKeepTheLimits(t *testing.T) {
+	s, n, g, ws := crew(t, 16)
+	uids := []string{}
+	for k := range 60 {
+		uid := fmt.Sprintf("j-1%03d", k)
+		uids = append(uids, uid)
+		s.submit(n, spec(uid, func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 2, 0.1, 0.1 }))
+	}
+	s.resync(g)
+	s.pass(g, ws, 2)
+	for k := range 150 {
+		s.submit(n, spec(fmt.Sprintf("j-2%03d", k), func(sp *wire.Spec) { sp.Cores, sp.RAM = 0.1, 0.1 }))
+	}
+	s.resync(g)
+	g.mu.Lock()
+	for _, uid := range uids {
+		g.dirty[uid] = true // recorded already with others' results
+	}
+	g.mu.Unlock()
+	s.pass(g, ws, 3)
+	for _, w := range ws {
+		for _, p := range w.Live() {
+			w.End(p, wire.CauseDone)
+		}
+	}
+	for k := range 30 {
+		s.ask(n, http.MethodPost, fmt.Sprintf("%s/j-2%03d/%s", wire.PathRuns, k, wire.SuffixAbort), nil)
+	}
+	s.resync(g)
+	s.pass(g, ws, 12)
+	if got := s.state.TooMany(); got != 0 {
+		t.Errorf("%d transactions were refused for their size", got)
+	}
+	if got := s.state.Keys(store.PrefixJob); len(got) != 0 {
+		t.Errorf("%d jobs are not over", len(got))
+	}
+	// One that is refused does not keep the others up.
+	s.submit(n, spec("j-3", nil))
+	s.resync(g)
+	w := &write{nonce: "x"}
+	for k := range 30 {
+		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: fmt.Sprintf("p/x/%05d", k)})
+	}
+	if !g.record(t.Context(), w) {
+		t.Fatal("a refused transaction ends the reign")
+	}
+	s.pass(g, ws, 2)
+	if startsOf(ws, "j-3") != 1 {
+		t.Error("nothing begins after a transaction was refused")
+	}
+}
--- a/trial.go
+++ b/trial.go
@@ -29,6 +29,9 @@
 	// badOn is on how many machines a job must have failed, and succeeded on none,
 	// to be called bad: fewer may all be sick.
 	badOn = 3
+	// goodTries is how many failures of one task of a job that works are held
+	// against the machines.
+	goodTries = 1
 	// lastsFor is how long a task must run on, at least, to show that its job works.
 	lastsFor = 3 * clock.Second
 	// probeGap is how far apart the tries of a job in doubt are while others of its
@@ -56,12 +59,18 @@
 	if t.bad {
 		return // it proves nothing against the machine
 	}
+	if t.good && pc.fails > goodTries {
+		// Others of its tasks succeed, this one does not, wherever it runs.
+		pc.notBefore = now + backoff(pc.fails)
+		return
+	}
+	g.touched[m] = true
 	if g.strikes[m] == nil {
-		g.strikes[m] = map[*job]int{}
+		g.strikes[m] = &strikes{first: now, by: map[*job]int{}}
 	}
-	g.strikes[m][j]++
+	g.strikes[m].by[j]++
 	if t.good {
-		g.sicken(m)
+		g.sicken(m, now)
 		return
 	}
 	if len(t.faults) == 1 && t.faults[m.Name] == 1 {
@@ -92,22 +101,35 @@
 	}
 }
 
+// strikes are the failures on a machine since anything was done there.
+type strikes struct {
+	first clock.Micros
+	by    map[*job]int
+}
+
 // unclear counts the jobs that failed on a machine since anything was done on it
 // and that are not known to work elsewhere. The caller holds mu.
 func (g *reign) unclear(m *fleet.Machine) (n int) {
-	for j := range g.strikes[m] {
-		if !j.trial.good {
-			n++
+	if s := g.strikes[m]; s != nil {
+		for j := range s.by {
+			if !j.trial.good {
+				n++
+			}
 		}
 	}
 	return n
 }
 
 // sicken bans a machine on which tasks of jobs that work elsewhere failed twice
-// with no success between. The caller holds mu.
-func (g *reign) sicken(m *fleet.Machine) {
-	n := 0
-	for j, k := range g.strikes[m] {
+// with no success between. A task that began there since the first failure and
+// runs on shows that the tasks were at fault; while there is one that has yet to
+// show it, the machine gets nothing new. The caller holds mu.
+func (g *reign) sicken(m *fleet.Machine, now clock.Micros) {
+	s, n := g.strikes[m], 0
+	if s == nil {
+		return
+	}
+	for j, k := range s.by {
 		if j.trial.good {
 			n += k
 		}
@@ -115,9 +137,23 @@
 	if n < 2 || m.Banned != "" || g.fl.Machine(m.Name) != m {
 		return
 	}
-	m.Banned = "sick"
+	lasting, young := false, false
+	m.Each(func(b *fleet.Booking) {
+		if b.Live() && b.Status == wire.PieceRunning && b.Running >= s.first {
+			lasts := m.LastBeat-b.Running > lastsFor
+			lasting, young = lasting || lasts, young || !lasts
+		}
+	})
 	g.touched[m] = true
-	g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", n)
+	switch {
+	case lasting:
+		delete(g.strikes, m)
+	case young:
+		m.FailingUntil = max(m.FailingUntil, now+lastsFor+clock.Second)
+	default:
+		m.Banned = "sick"
+		g.log.Info("machine is sick: its tasks fail", "host", m.Name, "strikes", n)
+	}
 }
 
 // weigh judges a job in doubt by what has become of its tasks. The caller holds mu.
@@ -127,7 +163,7 @@
 		return
 	}
 	if j.done > 0 || g.lasts(j, now) {
-		g.works(j)
+		g.works(j, now)
 		return
 	}
 	j.prune()
@@ -164,7 +200,7 @@
 
 // works notes that a job can succeed: where it failed, the machines are at fault.
 // The caller holds mu.
-func (g *reign) works(j *job) {
+func (g *reign) works(j *job, now clock.Micros) {
 	t := &j.trial
 	if t.bad {
 		g.log.Info("job works after all", "job", j.uid)
@@ -172,7 +208,7 @@
 	t.good, t.bad, t.wary = true, false, false
 	for host := range t.faults {
 		if m := g.fl.Machine(host); m != nil {
-			g.sicken(m)
+			g.sicken(m, now)
 		}
 	}
 	if len(j.waiting) > 0 {
@@ -188,9 +224,10 @@
 		if m == nil || g.strikes[m] == nil {
 			continue
 		}
-		delete(g.strikes[m], j)
-		if len(g.strikes[m]) == 0 {
+		delete(g.strikes[m].by, j)
+		if len(g.strikes[m].by) == 0 {
 			delete(g.strikes, m)
+			g.touched[m] = true
 		}
 		if m.FailingUntil > 0 && g.unclear(m) < 2 {
 			m.FailingUntil = 0
@@ -203,7 +240,7 @@
 // machines have been tried, ever more slowly once the job looks bad.
 func (g *reign) probePause(t *trial) clock.Micros {
 	if !t.bad {
-		return clock.Second
+		return clock.Second << min(t.probes, 4)
 	}
 	return min(60*clock.Second, probeGap<<min(t.probes, 4))
 }
--- a/trial_test.go
+++ b/trial_test.go
@@ -161,3 +161,41 @@
 		t.Errorf("%d tries under a new leader, want a few", more)
 	}
 }
+
+// Some tasks of a job fail everywhere while the others succeed: the job is not
+// bad, its other tasks run, and machines are not banned for those that fail.
+func TestTasksThatFailInAGoodJob(t *testing.T) {
+	s, n, g, ws := crew(t, 6, "j-1/3", "j-1/7", "j-1/11", "j-1/12", "j-1/13", "j-1/14")
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 40, 1, 1 }))
+	s.resync(g)
+	s.pass(g, ws, 6)
+	for _, w := range ws {
+		for _, p := range w.Live() {
+			w.End(p, wire.CauseDone)
+		}
+	}
+	s.pass(g, ws, 40)
+	if got := banned(g, ws); len(got) > 0 {
+		t.Errorf("banned: %v", got)
+	}
+	if j := g.jobs["j-1"]; j.done != 34 || j.trial.bad {
+		t.Errorf("%d tasks done, bad %t; want 34 and not bad", j.done, j.trial.bad)
+	}
+	if tries := startsOf(ws, "j-1"); tries > 34+6*9 {
+		t.Errorf("%d starts: those that fail are not slowed down", tries)
+	}
+}
+
+// Replicas that spot machines may hold are demand for as long as they are wanted,
+// whatever their class's run times.
+func TestLoanedReplicasAreSizedFor(t *testing.T) {
+	s, n, g, ws := crew(t, 1)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Shape, sp.Pieces, sp.ExpectS = wire.ShapeStanding, 12, 0 }))
+	s.resync(g)
+	s.pass(g, ws, 30)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if need := g.demand(g.ck.Now()); need.Loaned.Cores < 24 || need.Pressing.Cores < 24 {
+		t.Errorf("needed for 12 replicas of 2 cores: %+v", need)
+	}
+}
