--- a/api/intake.go
+++ b/api/intake.go
@@ -102,7 +102,7 @@
 	taken := map[string]bool{}
 	for _, e := range in.queue {
 		// The same job once more: it finds the first known.
-		if len(batch) >= maxBatch || len(batch) > 0 && size+e.size > maxBatchSize || taken[e.rec.Spec.UID] {
+		if len(batch) >= min(maxBatch, in.st.TxnOps()) || len(batch) > 0 && size+e.size > maxBatchSize || taken[e.rec.Spec.UID] {
 			rest = append(rest, e)
 			continue
 		}
@@ -125,6 +125,13 @@
 			txn.Apply = append(txn.Apply, wire.Apply{Set: store.JobKey(uid), Value: e.rec})
 		}
 		err := tryBusy(ctx, in.st, in.ck, txn)
+		if errors.Is(err, store.ErrMalformed) && len(batch) > 1 {
+			// One that the store does not take must not be the others' end.
+			for _, e := range batch {
+				in.commit([]*entry{e})
+			}
+			return
+		}
 		var conflict *store.Conflict
 		if !errors.As(err, &conflict) {
 			for _, e := range batch {
--- a/record.go
+++ b/record.go
@@ -176,7 +176,7 @@
 				if c.seq == c.saved {
 					continue
 				}
-				if len(w.txn.Apply) >= most || w.size > maxTxn {
+				if len(w.txn.Apply) >= most || w.size > maxTxn || len(w.txn.When)+2 > 4*g.cfg.Facts.State.TxnOps {
 					clean = false
 					break
 				}
--- a/store/client.go
+++ b/store/client.go
@@ -165,6 +165,9 @@
 	}
 }
 
+// TxnOps is how many changes a transaction may hold.
+func (c *Client) TxnOps() int { return c.limits.TxnOps }
+
 // Waiting is how many requests wait for this node's share of the service's.
 func (c *Client) Waiting() int { return int(-c.requests.Tokens()) }
 
--- a/swarm_test.go
+++ b/swarm_test.go
@@ -363,3 +363,29 @@
 		t.Error("nothing begins after a transaction was refused")
 	}
 }
+
+// Submissions that share a transaction share neither a refusal nor a conflict:
+// what is known hears so, what the store does not take fails alone.
+func TestSubmissionsOfABatchAreJudgedAlone(t *testing.T) {
+	s := newSite(t)
+	n := s.node(nil)
+	_, _ = s.elect(n)
+	s.submit(n, spec("j-1", nil))
+	release := s.state.Stall() // those that come meanwhile share the next transaction
+	codes := make(chan int)
+	const jobs = 12
+	for k := range jobs {
+		go func() {
+			code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, spec(fmt.Sprintf("j-%d", k), nil))
+			codes <- code
+		}()
+	}
+	release()
+	got := map[int]int{}
+	for range jobs {
+		got[<-codes]++
+	}
+	if got[http.StatusCreated] != jobs-1 || got[http.StatusOK] != 1 {
+		t.Errorf("answers by status: %v, want %d accepted and one known", got, jobs-1)
+	}
+}
