Messages held in one direction only: a scene, and random schedules

A meeting without a test until now. The stand-in network holds messages from one host to another, or out of or into a zone, by themselves; a connection needs both directions. TestMessagesHeldOneWay lets the runs of a job wait on their way while its machines report on and show nothing of them, the job is cancelled, and its team's next job must wait; the other way round; and with the state service's answers held as well. TestRandomOneWayMeetings plays 30 schedules in each run.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -28,8 +28,8 @@
 	zones     map[string]string // of the hosts that are in one
 	apart     map[string]bool   // zones that are cut off from all else
 	conns     map[*conn]bool
-	held      map[[2]string]int // pairs of hosts whose messages wait, both ways, and how often
-	heldZones map[string]int    // zones over whose edge they do
+	held      map[[2]string]int // from which host to which messages wait, and how often
+	heldZones map[edge]int      // over the edge of which zones, and which way
 	joined    chan struct{}     // closed when one of these changes
 }
 
@@ -37,7 +37,7 @@
 func NewNetwork() *Network {
 	return &Network{Latency: func(string, string) time.Duration { return 0 },
 		listeners: map[string]*listener{}, cut: map[[2]string]bool{}, zones: map[string]string{}, apart: map[string]bool{}, conns: map[*conn]bool{},
-		held: map[[2]string]int{}, heldZones: map[string]int{}, joined: make(chan struct{})}
+		held: map[[2]string]int{}, heldZones: map[edge]int{}, joined: make(chan struct{})}
 }
 
 type address string
@@ -112,7 +112,7 @@
 		case <-ctx.Done():
 			return fail(ctx.Err())
 		}
-		if !n.Await(ctx, from, addr) {
+		if !n.AwaitBoth(ctx, from, addr) {
 			return fail(ctx.Err())
 		}
 		if n.Cut(from, addr) {
@@ -203,21 +203,47 @@
 	}
 }
 
-// Hold lets all messages between two hosts wait, or no longer, in both directions.
-// They arrive in order afterwards, also when their sender has closed the connection.
-// Holds of a pair add up.
-func (n *Network) Hold(a, b string, yes bool) {
+// Way tells which messages a hold lets wait.
+type Way int
+
+// The ways of a hold between two hosts, or over the edge of a zone.
+const (
+	BothWays Way = iota
+	Out          // from the first host to the second, or out of the zone
+	In           // from the second host to the first, or into the zone
+)
+
+// edge is that of a zone, in one direction.
+type edge struct {
+	zone string
+	out  bool
+}
+
+// Hold lets messages between two hosts wait, or no longer. They arrive in order
+// afterwards, also when their sender has closed the connection. Holds add up.
+func (n *Network) Hold(a, b string, way Way, yes bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count(n.held, pair(a, b), yes)
+	a, b = host(a), host(b)
+	if way != In {
+		count(n.held, [2]string{a, b}, yes)
+	}
+	if way != Out {
+		count(n.held, [2]string{b, a}, yes)
+	}
 	n.rejoin()
 }
 
-// HoldZone lets all messages over the edge of a zone wait, or no longer.
-func (n *Network) HoldZone(zone string, yes bool) {
+// HoldZone lets messages over the edge of a zone wait, or no longer.
+func (n *Network) HoldZone(zone string, way Way, yes bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count(n.heldZones, zone, yes)
+	if way != In {
+		count(n.heldZones, edge{zone, true}, yes)
+	}
+	if way != Out {
+		count(n.heldZones, edge{zone, false}, yes)
+	}
 	n.rejoin()
 }
 
@@ -229,21 +255,13 @@
 	}
 }
 
-// pair names two hosts, whichever is called first.
-func pair(a, b string) [2]string {
-	if a, b = host(a), host(b); a > b {
-		a, b = b, a
-	}
-	return [2]string{a, b}
-}
-
 // rejoin wakes who waits for the end of a hold. The caller holds mu.
 func (n *Network) rejoin() {
 	close(n.joined)
 	n.joined = make(chan struct{})
 }
 
-// Held tells whether messages between two hosts wait.
+// Held tells whether messages from one host to another wait.
 func (n *Network) Held(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -251,17 +269,28 @@
 }
 
 func (n *Network) waits(from, to string) bool {
-	a, b := n.zones[host(from)], n.zones[host(to)]
-	return n.held[pair(from, to)] > 0 || a != b && (n.heldZones[a] > 0 || n.heldZones[b] > 0)
+	from, to = host(from), host(to)
+	a, b := n.zones[from], n.zones[to]
+	return n.held[[2]string{from, to}] > 0 || a != b && (n.heldZones[edge{a, true}] > 0 || n.heldZones[edge{b, false}] > 0)
 }
 
-// Await returns once messages between two hosts pass, or false if ctx ends before.
+// Await returns once messages from one host to another pass, or false if ctx ends before.
 func (n *Network) Await(ctx context.Context, from, to string) bool {
+	return n.await(ctx, func() bool { return n.waits(from, to) })
+}
+
+// AwaitBoth returns once messages between two hosts pass in both directions, as
+// a connection that is made needs it, or false if ctx ends before.
+func (n *Network) AwaitBoth(ctx context.Context, a, b string) bool {
+	return n.await(ctx, func() bool { return n.waits(a, b) || n.waits(b, a) })
+}
+
+func (n *Network) await(ctx context.Context, waits func() bool) bool {
 	for {
 		n.mu.Lock()
-		waits, ch := n.waits(from, to), n.joined
+		wait, ch := waits(), n.joined
 		n.mu.Unlock()
-		if !waits {
+		if !wait {
 			return true
 		}
 		select {
--- a/model_test.go
+++ b/model_test.go
@@ -36,6 +36,7 @@
 	meetings = flag.Uint64("meetings", 200, "how many random schedules are played")
 	further  = flag.Uint64("further", 100, "how many random schedules with further troubles are played")
 	held     = flag.Uint64("held", 40, "how many random schedules are played whose messages are held, too")
+	oneWay   = flag.Uint64("oneway", 30, "how many random schedules are played whose messages are held in one direction only")
 	meeting  = flag.Uint64("meeting", 0, "the seed of the first random schedule")
 )
 
@@ -97,10 +98,12 @@
 	node  int           // a controller; 3 stands for whoever leads then
 	which int           // a machine, by its place among those that are there
 	by    time.Duration // how late or slow
+	way   standin.Way   // in which direction messages are held
 }
 
 func (x trouble) String() string {
-	return fmt.Sprintf("%5.1f s for %4.1f s: %s (node %d, machine %d, %v)", x.at.Seconds(), x.lasts.Seconds(), x.kind, x.node, x.which, x.by)
+	way := [...]string{standin.BothWays: "", standin.Out: ", out", standin.In: ", in"}[x.way]
+	return fmt.Sprintf("%5.1f s for %4.1f s: %s (node %d, machine %d, %v%s)", x.at.Seconds(), x.lasts.Seconds(), x.kind, x.node, x.which, x.by, way)
 }
 
 // submission is what one user does.
@@ -281,6 +284,19 @@
 	return s
 }
 
+// drawOneWay is the schedule of a seed with held messages, each hold in one
+// direction only: what is sent over it arrives late while the other side is heard.
+func drawOneWay(seed uint64) schedule {
+	s := drawHeld(seed)
+	r := rand.New(rand.NewPCG(seed, 17))
+	for i := range s.troubles {
+		if x := &s.troubles[i]; slices.Contains(heldKinds, x.kind) {
+			x.way = standin.Out + standin.Way(r.IntN(2))
+		}
+	}
+	return s
+}
+
 // process is one process of a controller.
 type process struct {
 	*Service
@@ -579,7 +595,7 @@
 func (w *world) exchange(ctx context.Context, open *process, from, node, method, path string, body []byte) (int, []byte, error) {
 	p := open
 	if p == nil {
-		if !w.net.Await(ctx, from, node) {
+		if !w.net.AwaitBoth(ctx, from, node) {
 			return 0, nil, errLost
 		}
 		if p = w.running(node); p == nil {
@@ -1025,16 +1041,16 @@
 		end = func() { w.net.Isolate(zone, false) }
 	case x.kind == holdZone:
 		zone := nodeZones[x.which%len(nodeZones)]
-		w.net.HoldZone(zone, true)
-		end = func() { w.net.HoldZone(zone, false) }
+		w.net.HoldZone(zone, x.way, true)
+		end = func() { w.net.HoldZone(zone, x.way, false) }
 	case slices.Contains([]string{holdState, holdPeers, holdFleet, holdWorker, holdCloud}, x.kind):
 		apart := w.apart(x, name, m)
 		for _, c := range apart {
-			w.net.Hold(c[0], c[1], true)
+			w.net.Hold(c[0], c[1], x.way, true)
 		}
 		end = func() {
 			for _, c := range apart {
-				w.net.Hold(c[0], c[1], false)
+				w.net.Hold(c[0], c[1], x.way, false)
 			}
 		}
 	case x.kind == restartWorker && m != nil:
@@ -1407,6 +1423,9 @@
 // The same again with messages that are held and delivered late.
 func TestRandomHeldMeetings(t *testing.T) { playRandom(t, *held, drawHeld) }
 
+// The same with each hold in one direction only.
+func TestRandomOneWayMeetings(t *testing.T) { playRandom(t, *oneWay, drawOneWay) }
+
 func playRandom(t *testing.T, seeds uint64, draw func(seed uint64) schedule) {
 	for seed := *meeting; seed < *meeting+seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
--- a/scenes_test.go
+++ b/scenes_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cedardoor/internal/standin"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -326,3 +327,71 @@
 		}
 	})
 }
+
+// Messages from the leader to the machines of a zone wait for seconds, while those
+// machines are heard: their reports go on and show nothing of the runs that are on
+// their way. The job is cancelled meanwhile and its team's next one waits, since the
+// runs do arrive in the end. Held the other way, the runs arrive at once and nothing
+// of them is heard; and what the state service answers the leader may wait, too.
+func TestMessagesHeldOneWay(t *testing.T) {
+	const from, until = 24.0, 31.0
+	for _, tt := range []struct {
+		name  string
+		state bool // what the state service answers the leader waits, as well
+		way   standin.Way
+	}{{"to machines", false, standin.Out}, {"from machines", false, standin.In}, {"to machines and from the state service", true, standin.Out}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := schedule{seed: 6, lasts: at(60), leads: 1, holds: true}
+			tight := func(zone string) func(sp *wire.Spec) {
+				return func(sp *wire.Spec) {
+					standing(6)(sp)
+					sp.Owner, sp.Yard, sp.Builds = "tight", zone, []string{"b"}
+				}
+			}
+			s.users = []submission{
+				// Machines have room and connections when it begins.
+				user(1, 1, 0, func(sp *wire.Spec) { standing(4)(sp); sp.Cores, sp.Yard, sp.Builds = 6, "x", []string{"b"} }),
+				user(2, 1, 0, func(sp *wire.Spec) { standing(4)(sp); sp.Cores, sp.Yard, sp.Builds = 6, "y", []string{"b"} }),
+				user(3, from-0.95, 0, tight("x")), user(4, from, 0, tight("y")),
+			}
+			s.users[0].cancelAt, s.users[1].cancelAt = at(from-5), at(from-5)
+			s.users[2].cancelAt = at(0.4)
+			var mu sync.Mutex
+			var there []int // tasks of the cancelled job on machines, through the hold
+			s.setup = func(w *world) {
+				hold := func(yes bool) {
+					for _, m := range w.cloud.Machines() {
+						if m.Host.Yard == "x" {
+							w.net.Hold("node-1", m.Host.UID, tt.way, yes)
+						}
+					}
+				}
+				w.during(from, func() { hold(true) })
+				w.during(until, func() { hold(false) })
+				if tt.state {
+					w.during(from+1.2, func() { w.net.Hold("state", "node-1", standin.Out, true) })
+					w.during(from+4, func() { w.net.Hold("state", "node-1", standin.Out, false) })
+				}
+				for when := from; when < until; when += 0.1 {
+					w.during(when, func() {
+						mu.Lock()
+						defer mu.Unlock()
+						there = append(there, w.on("j-3")["x"])
+					})
+				}
+			}
+			playOut(t, s, func(w *world) {
+				w.mu.Lock()
+				next, began := w.first["j-4/0"]
+				w.mu.Unlock()
+				if most := slices.Max(there); (most > 0) != (tt.way == standin.In) {
+					w.t.Errorf("at most %d tasks of the cancelled job were on machines inside the hold", most)
+				}
+				if wait := next.Sub(w.began); !began || tt.way == standin.Out && wait < at(until) {
+					w.t.Errorf("the team's next job began at %v, while runs of the cancelled one were on their way", wait)
+				}
+				w.served()
+			})
+		})
+	}
+}
