Copies of an earlier process's reports prove nothing where a worker counts from the start

Cause: a worker that is back as a new process and counts from session 1 is served, but late copies of its earlier process's reports count higher than the new one's do: they were taken for a later session or a later report, and freed the tasks that run, which then started elsewhere. Change: such a machine's beats of another session, or not beyond all that the earlier process can have reached, are treated as any other old report: the worker is asked, and its answer counts. What it is to do goes directly. Ruled out: giving orders with the answers to such beats (a third process might execute them under the second's count). Guard: TestCopiesOfAnEarlierProcess, all six rows fail without the condition (freed while it runs). All tests of fleet and of the whole service pass with the race detector.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -135,12 +135,13 @@
 	byKey  map[key]*Booking
 	live   int // bookings that may be on it
 	strays map[key]stray
-	mixed  bool   // it adopted bookings of several sessions: those before the one that reports are over
-	missed bool   // a direct command did not get through since the last beat
-	told   uint64 // the token in the last answer
-	seen   []byte // the task list of the last report, as it came
-	shown  uint64 // the token that it came with
-	steady bool   // that list holds no news and asks for no orders
+	past   wire.Mark // as far as copies of an earlier process's reports may go, where the worker began to count anew
+	mixed  bool      // it adopted bookings of several sessions: those before the one that reports are over
+	missed bool      // a direct command did not get through since the last beat
+	told   uint64    // the token in the last answer
+	seen   []byte    // the task list of the last report, as it came
+	shown  uint64    // the token that it came with
+	steady bool      // that list holds no news and asks for no orders
 	dueAt  clock.Micros
 	due    int // its index in the fleet's order of lease ends, plus one
 	beat   *list.Element
@@ -445,6 +446,19 @@
 	return session > m.Session || session == m.Session && tally > m.Tally
 }
 
+// CountsAnew tells whether the worker is a process that began to count from the
+// start. Its beats may prove nothing for long, and get no orders then: what it is
+// told goes to it directly.
+func (m *Machine) CountsAnew() bool { return m.past.Tenure > 0 }
+
+// ambiguous tells whether a beat may be a copy of what an earlier process of the
+// worker reported, though it counts higher than the present one has: that began
+// to count anew, so its sessions say nothing, and its tallies only once they are
+// beyond all that the earlier one can have reached. A question tells.
+func (m *Machine) ambiguous(rep *wire.Beat) bool {
+	return m.CountsAnew() && (rep.Tenure != m.Session || rep.Tenure == m.past.Tenure && rep.Tally <= m.past.Tally)
+}
+
 // Report takes in a worker's report. viaBeat tells a beat from the body of a
 // /do or /show: only a beat proves that the answer to an earlier beat is dead,
 // because a worker has one beat in flight and drops answers that come late.
@@ -455,7 +469,7 @@
 // the conditions below. That the machine is there now, it cannot prove: see Trusted.
 func (f *Fleet) Report(now clock.Micros, rep *wire.Beat, viaBeat bool) (news []News, fresh bool) {
 	m := f.Ensure(rep.Host, now)
-	if !m.Newer(rep.Tenure, rep.Tally) {
+	if !m.Newer(rep.Tenure, rep.Tally) || viaBeat && m.ambiguous(rep) {
 		return nil, false
 	}
 	f.Visits++
@@ -669,6 +683,9 @@
 			}
 			f.Remove(b, now)
 		})
+		if reached := (wire.Mark{Tenure: m.Session, Tally: m.Tally + f.unseen()}); reached.Tenure >= m.past.Tenure {
+			m.past = reached
+		}
 		m.Session, m.Tally, m.Token = rep.Tenure, 0, rep.Warrant
 		m.Images, m.steady = map[string]bool{}, false
 		m.Beaten = m.Beaten && rep.Warrant >= f.first
@@ -691,6 +708,11 @@
 	return append(news, more...)
 }
 
+// unseen is how many reports a worker may have made in a session after the last
+// one that was taken in: two a second for as long as its lease goes on without
+// an answer, and as many answers to direct commands and questions.
+func (f *Fleet) unseen() uint64 { return uint64(4 * f.lease / clock.Second) }
+
 // Mark is how far a machine's reports have come.
 func (m *Machine) Mark() wire.Mark { return wire.Mark{Tenure: m.Session, Tally: m.Tally} }
 
@@ -837,7 +859,7 @@
 			if b.Status != "" && b.Status != wire.PieceEnded {
 				orders = append(orders, b.halt(now))
 			}
-		case b.Recorded && scope == Everything && b.Status == "" && b.flying == 0 && (viaBeat || !b.WithBeat):
+		case b.Recorded && scope == Everything && b.Status == "" && b.flying == 0 && (viaBeat || !b.WithBeat || m.CountsAnew()):
 			runs = append(runs, wire.Order{Verb: wire.VerbRun, Piece: b.Piece.String(), Try: b.Try})
 			if viaBeat {
 				b.beatTally = m.Tally
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -397,6 +397,61 @@
 	_ = b
 }
 
+// A worker began to count anew, and copies of what its earlier process reported come
+// late: they count higher than the new one does, and show nothing of what runs
+// there. None of them proves anything; an answer to a question does, and so does a
+// beat beyond all that the earlier process can have reached.
+func TestCopiesOfAnEarlierProcess(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		session, tally   uint64 // how far the earlier process came
+		copied, copiedAt uint64 // the session and tally of the copy
+	}{
+		{"a later session", 3, 40, 3, 38},
+		{"the last of a later session", 3, 40, 3, 40},
+		{"of a later session, and never seen before", 3, 40, 3, 43},
+		{"of a session that was never seen", 3, 40, 4, 2},
+		{"the same session", 1, 40, 1, 38},
+		{"the same session, and never seen before", 1, 40, 1, 43},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f, m, _ := booked(t)
+			f.Report(2, rep(tt.session, tt.tally, 5), true)
+			f.Answers(3, m.Mark(), rep(1, 2, 5))
+			b := &Booking{Piece: PieceID{Job: "j-2"}, Try: 1, Session: 1, Cores: 1, WithBeat: true}
+			f.Reserve(m, b, 4)
+			b.Recorded = true
+			if fl := f.Launch(m, 4, 5, Everything); fl == nil || !fl.Runs() {
+				t.Fatal("its run waits for a beat that may not be believed")
+			} else {
+				f.Landed(fl, Void)
+			}
+			runs := wire.PieceReport{Piece: "j-2/0", Try: 1, Status: wire.PieceRunning}
+			f.Answers(5, m.Mark(), rep(1, 3, 5, runs))
+			if b.Running == 0 {
+				t.Fatal("the answer of the new process is not believed")
+			}
+			if news, fresh := f.Report(6, rep(tt.copied, tt.copiedAt, 5), true); fresh || gone(news) || !b.Live() {
+				t.Fatalf("the copy was believed: fresh %t, live %t", fresh, b.Live())
+			}
+			if f.Answers(7, m.Mark(), rep(1, 5, 5, runs)); !b.Live() || m.Session != 1 {
+				t.Fatalf("after a question: live %t, session %d", b.Live(), m.Session)
+			}
+			beyond := uint64(6)
+			if tt.session == 1 {
+				beyond = tt.tally + f.unseen() + 1
+			}
+			if _, fresh := f.Report(8, rep(1, beyond, 5, runs), true); !fresh {
+				t.Error("beats of the new process are never believed again")
+			}
+			// Its next session is told by an answer.
+			if news := f.Answers(9, m.Mark(), rep(2, beyond+1, 5)); !gone(news) || b.Live() {
+				t.Error("a later session of the new process does not free what ran before")
+			}
+		})
+	}
+}
+
 // What is told to a deaf machine takes no effect although it reports.
 func TestDeaf(t *testing.T) {
 	f, m, b := booked(t)
--- a/silent.go
+++ b/silent.go
@@ -227,6 +227,9 @@
 	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
 	case err == nil && rep.Host == m.Name:
 		g.news(g.fl.Answers(now, known, rep), now)
+		if m.CountsAnew() {
+			g.toTell[m] = true
+		}
 	case now-m.LastBeat < report && !m.Suspect, !m.Beaten && !m.Suspect && now-m.AnsweredAt < report:
 		// It reports, trusted or not yet: only this question was lost.
 	default:
--- a/step.go
+++ b/step.go
@@ -240,7 +240,7 @@
 
 // urgent tells whether a machine has commands that should not wait for its next beat.
 func (g *term) urgent(m *fleet.Machine, scope fleet.Scope) bool {
-	urgent := false
+	urgent := m.CountsAnew()
 	m.Each(func(b *fleet.Booking) {
 		if !b.Live() || b.Session != m.Session {
 			return
