Jobs that have waited long take turns with urgent work that waits

Cause: the first task of a job that has waited 75 s goes before work of higher rank. Where jobs of one task each are more than the fleet works off, every task is a first one: they took all that came free, directly or by room that is kept, and may not be preempted. Urgent arrays got a first task after 77 to 97 s and their others never within the scene (two machines, ninety such jobs in 72 s). Change: the planner counts turns. Each place that waiting work of higher rank gets allows one such job to go first, two at a time at most; room that is kept is a turn taken. Nothing changes where nobody of higher rank waits. Ruled out: a shorter wait until urgent jobs count as aged (helps their first tasks only); eight turns at a time (the first urgent array waits for eight places: 26 s); counting a turn when kept room is used (every machine was kept for somebody at once: waits grew without end). Guards: TestAgedJobsTakeTurnsWithUrgentWork (without turns 60 aged tasks and 8 urgent ones in 40 plans), TestOneTaskJobsThatWaitLongHoldUpNoUrgentWork (fails without: above); both seen to fail. TestOnlyTheFirstTaskOfAnAgedJobGoesFirst gives its picture turns, as the engine does; it asserts what it did.

--- a/engine.go
+++ b/engine.go
@@ -213,7 +213,7 @@
 		calledOff: map[*job]clock.Micros{},
 		unheard:   map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
-	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true}
+	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true, Turns: plan.MostTurns}
 	for _, t := range s.cfg.Facts.Teams {
 		g.teams[t.Name] = t
 		g.pic.Team[t.Name] = &plan.Quota{CoresMax: t.CPUsMax, AccelMax: t.AccelMax, CoresMin: t.CPUs, AccelMin: t.Accel}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -127,6 +127,9 @@
 	Seed       uint64
 	Preempt    bool
 	Now        clock.Micros
+	// Turns is how many aged jobs may go before work of higher rank that waits, too.
+	// Each takes one, and each task of such work that is placed gives one back.
+	Turns int
 	// AvoidStruck keeps jobs on trial off machines on which tasks have failed: what
 	// they show there says little.
 	AvoidStruck bool
@@ -159,6 +162,8 @@
 	Unplaced   map[string]int // waiting tasks without a machine, by job
 	// Hold keeps the room that comes free on a machine for an aged job, by machine.
 	Hold map[string]string
+	// Turns is what the next plan's picture is to have.
+	Turns int
 	// Visits counts the machines looked at.
 	Visits int
 }
@@ -169,7 +174,8 @@
 	out    Result
 	rng    *rand.Rand
 	undo   []func()
-	copies []*Machine // machines changed by the plan
+	copies []*Machine    // machines changed by the plan
+	kept   map[*Job]bool // jobs for which this plan keeps a machine's room
 	// stopping is what the plan stops of each team.
 	stopping map[string]Quota
 }
@@ -235,16 +241,22 @@
 	sort.SliceStable(list, func(i, j int) bool { return order(list[i], list[j]) })
 	// A job that has waited long without any task begun goes before those of
 	// higher rank with its first task, so that none waits for ever. Its next ones
-	// do not, though the first may take seconds to begin.
+	// do not, though the first may take seconds to begin. Where many such jobs meet
+	// higher rank, they take turns: an overload of jobs of one task each would else
+	// have all that comes free. A job for which room is kept has taken its turn.
+	turns := pl.turns(list)
 	rest := list[:0:0]
 	var failed []*Job
 	for _, w := range list {
-		if j := w.Job; j.Aged && !j.Group && !j.SamePlace && !j.anywhere() {
-			n := min(AgedTasks, len(w.Indexes))
+		if j := w.Job; first(w) && (turns.left > 0 || j.Rank >= turns.rival || pl.holds(j)) {
+			n, kept := min(AgedTasks, len(w.Indexes)), pl.holds(j)
 			done := pl.some(&Waiting{Job: j, Indexes: w.Indexes[:n], Lost: w.Lost}, &failed, false)
 			if done == 0 {
 				pl.hold(j)
 			}
+			if j.Rank < turns.rival && !kept && (done > 0 || pl.holds(j)) {
+				turns.left--
+			}
 			if done < len(w.Indexes) {
 				rest = append(rest, &Waiting{Job: j, Indexes: w.Indexes[done:], Lost: w.Lost})
 			}
@@ -267,8 +279,47 @@
 			pl.gang(w)
 			continue
 		}
-		pl.some(w, &failed, true)
+		placed := pl.some(w, &failed, true)
+		if j.Rank > turns.lowest && !first(w) {
+			turns.left += placed
+		}
+	}
+	if !standing {
+		pl.out.Turns = max(0, min(turns.left, MostTurns))
+	}
+}
+
+// first tells whether a job's first task may go before work of higher rank.
+func first(w *Waiting) bool {
+	j := w.Job
+	return j.Aged && !j.Group && !j.SamePlace && !j.anywhere()
+}
+
+// MostTurns is how many aged jobs may go at once before work of higher rank that
+// comes. More would let what is urgent wait for as many places to come free.
+const MostTurns = 2
+
+// turns is what aged jobs and work of higher rank that waits share a plan by.
+type turns struct {
+	left   int
+	rival  wire.Rank // the highest that waits and has not aged
+	lowest wire.Rank // the lowest of the aged jobs
+}
+
+func (pl *planner) turns(list []*Waiting) turns {
+	t := turns{left: pl.Turns, lowest: wire.RankCritical}
+	aged, others := false, false
+	for _, w := range list {
+		if first(w) {
+			aged, t.lowest = true, min(t.lowest, w.Job.Rank)
+		} else {
+			others, t.rival = true, max(t.rival, w.Job.Rank)
+		}
+	}
+	if !aged || !others || t.rival <= t.lowest {
+		t.left = MostTurns // nobody is in the other's way
 	}
+	return t
 }
 
 // some places as many of a job's waiting tasks as there is room for.
@@ -383,6 +434,18 @@
 	pl.out.Hold[best.Name] = j.UID
 	pl.save(best)
 	best.Held = j.UID
+	if pl.kept == nil {
+		pl.kept = map[*Job]bool{}
+	}
+	pl.kept[j] = true
+}
+
+// holds tells whether a machine's room is kept for a job.
+func (pl *planner) holds(j *Job) bool {
+	if m := pl.index.byName[j.Hold]; m != nil && m.Held == j.UID {
+		return true
+	}
+	return pl.kept[j]
 }
 
 // dominated tells whether a job asks for at least what another, with no fewer
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -1,14 +1,17 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"cedardoor/clock"
 	"cedardoor/wire"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 )
 
 func machine(name, zone string, cores, ram float64) *Machine {
@@ -33,7 +36,7 @@
 		Waiting: []Waiting{{Job: newJob("j-1", 1, 1, 2), Indexes: indexes(1)}}}
 	// Most free memory, the tie broken by free CPU.
 	want := []Placement{{TaskID{"j-1", 0}, "c"}}
-	if diff := cmp.Diff(want, Make(p).Launch); diff != "" {
+	if diff := gocmp.Diff(want, Make(p).Launch); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -101,7 +104,7 @@
 	}
 	res := Make(p)
 	want := []Placement{{TaskID{"j-3", 0}, "a"}, {TaskID{"j-2", 0}, "a"}}
-	if diff := cmp.Diff(want, res.Launch); diff != "" {
+	if diff := gocmp.Diff(want, res.Launch); diff != "" {
 		t.Error(diff)
 	}
 	if res.Unplaced["j-1"] != 1 {
@@ -196,7 +199,7 @@
 	res := Make(&Picture{Machines: []*Machine{a, b}, MoveCap: 1, Candidates: []Candidate{
 		{Job: small, Machine: "a", Reason: ReasonBan}, {Job: big, Machine: "a", Reason: ReasonBan}}})
 	want := []Move{{Task: TaskID{"j-2", 0}, From: "a", To: "b", Reason: ReasonBan}}
-	if diff := cmp.Diff(want, res.Moves); diff != "" {
+	if diff := gocmp.Diff(want, res.Moves); diff != "" {
 		t.Error("largest memory first, within the cap: ", diff)
 	}
 	if res.Deferred != 1 {
@@ -233,7 +236,7 @@
 	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{
 		{Job: urgent, Indexes: indexes(2)}, {Job: equal, Indexes: indexes(1)}}})
 	want := []TaskID{{"j-1", 0}}
-	if diff := cmp.Diff(want, res.Preempt); diff != "" {
+	if diff := gocmp.Diff(want, res.Preempt); diff != "" {
 		t.Error("one victim makes room for both, an equal rank stops nothing: ", diff)
 	}
 	// Room already on its way is waited for, not made again.
@@ -484,7 +487,7 @@
 // A job that has waited long goes before higher ranks with its first task only,
 // though plan after plan is made before that one is seen to begin.
 func TestOnlyTheFirstTaskOfAnAgedJobGoesFirst(t *testing.T) {
-	p := &Picture{}
+	p := &Picture{Turns: MostTurns}
 	old, urgent := newJob("j-1", 10, 1, 1), newJob("j-2", 10, 1, 1)
 	old.Rank, old.Aged, urgent.Rank = wire.RankLow, true, wire.RankHigh
 	placed := map[string]int{}
@@ -508,6 +511,63 @@
 	}
 }
 
+// Jobs of one task each that have all waited long are more than the room that comes
+// free. Urgent work that waits beside them gets every other place, and they the
+// rest, though other urgent work finds no room at all; a large one
+// among them gets the room that is kept for it.
+func TestAgedJobsTakeTurnsWithUrgentWork(t *testing.T) {
+	p := &Picture{Turns: MostTurns}
+	waiting := map[string]Waiting{}
+	for n := range 60 {
+		j := newJob(fmt.Sprintf("j-%d", n), 1, 1, 1)
+		j.Rank, j.Aged, j.Order = wire.RankLow, true, int64(n)
+		waiting[j.UID] = Waiting{Job: j, Indexes: indexes(1)}
+	}
+	waiting["j-9"].Job.Cores = 3 // more than a machine has at first
+	urgent := newJob("j-100", 40, 1, 1)
+	urgent.Rank = wire.RankHigh
+	large := newJob("j-101", 1, 64, 1) // there is no room for it anywhere
+	large.Rank = wire.RankCritical
+	held := ""
+	placed := map[string]int{}
+	for n := range 40 {
+		p.Put(machine(fmt.Sprintf("m%d", n), "x", 1, 1))
+		if m := p.Machine(held); m != nil {
+			m.Cores, m.RAM = m.Cores+1, 1
+			p.Put(m)
+		}
+		waiting[urgent.UID] = Waiting{Job: urgent, Indexes: indexes(40)[placed["urgent"]:]}
+		waiting[large.UID] = Waiting{Job: large, Indexes: indexes(1)}
+		p.Waiting = slices.SortedFunc(maps.Values(waiting), func(a, b Waiting) int { return cmp.Compare(a.Job.UID, b.Job.UID) })
+		res := Make(p)
+		p.Turns, held = res.Turns, ""
+		for m, uid := range res.Hold {
+			held = m
+			waiting[uid].Job.Hold = m
+			p.Machine(m).Held = uid
+		}
+		for _, l := range res.Launch {
+			m := p.Machine(l.Machine)
+			m.Cores, m.RAM = 0, 0
+			p.Put(m)
+			switch l.Task.Job {
+			case urgent.UID:
+				placed["urgent"]++
+				urgent.Count("x", l.Machine, 1)
+			case "j-9":
+				placed["j-9"]++
+				fallthrough
+			default:
+				placed["aged"]++
+				delete(waiting, l.Task.Job)
+			}
+		}
+	}
+	if placed["urgent"] < 12 || placed["aged"] < 12 || placed["j-9"] != 1 {
+		t.Errorf("placed %v, want about as many of either, and j-9", placed)
+	}
+}
+
 // A plan leaves the picture as it found it.
 func TestPlanRestoresThePicture(t *testing.T) {
 	p := &Picture{Team: map[string]*Quota{"t": {CoresMax: 100}}, Preempt: true, MoveCap: 3}
@@ -567,7 +627,7 @@
 			res := Make(&Picture{Machines: []*Machine{a}, AvoidStruck: true,
 				Waiting: []Waiting{{Job: bad, Indexes: indexes(1)}, {Job: good, Indexes: indexes(2)}}})
 			want := []Placement{{TaskID{"j-2", 0}, "a"}, {TaskID{"j-2", 1}, "a"}}
-			if diff := cmp.Diff(want, res.Launch); diff != "" {
+			if diff := gocmp.Diff(want, res.Launch); diff != "" {
 				t.Errorf("%s, in one zone %v: %s", name, same, diff)
 			}
 		}
--- a/scenes_test.go
+++ b/scenes_test.go
@@ -395,3 +395,46 @@
 		})
 	}
 }
+
+// Jobs of one task each come faster than the machines work them off, so that each
+// has waited long when it begins. Urgent work that comes beside them begins soon all
+// the same, and none of them waits for ever.
+func TestOneTaskJobsThatWaitLongHoldUpNoUrgentWork(t *testing.T) {
+	s := schedule{seed: 7, lasts: at(150), most: 2}
+	for n := range 90 {
+		s.users = append(s.users, user(1+n, 1+0.8*float64(n), float64(10+n*7%30), func(sp *wire.Spec) {
+			sp.Cores, sp.Rank, sp.Builds = 2, "standard", []string{"b"}
+		}))
+	}
+	for n := range 7 {
+		s.users = append(s.users, user(300+n, 20+15*float64(n), 15, func(sp *wire.Spec) {
+			sp.Pieces, sp.Cores, sp.Rank, sp.Builds = 3, 2, "high", []string{"b"}
+		}))
+	}
+	playOut(t, s, func(w *world) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		began := func(u submission, index int) (time.Duration, bool) {
+			when, ok := w.first[fmt.Sprintf("%s/%d", u.spec.UID, index)]
+			return when.Sub(w.began.Add(u.at)), ok
+		}
+		most := time.Duration(0)
+		for _, u := range s.users {
+			for index := range u.spec.Pieces {
+				wait, ok := began(u, index)
+				switch {
+				case u.spec.Rank == "high" && (!ok || wait > at(40) || index == 0 && wait > at(25)):
+					w.t.Errorf("%s/%d is urgent and began after %v", u.spec.UID, index, wait)
+				case u.spec.Rank != "high" && u.at < at(40) && (!ok || wait > 4*time.Minute):
+					w.t.Errorf("%s began after %v (%t)", u.spec.UID, wait, ok)
+				}
+				if u.spec.Rank != "high" {
+					most = max(most, wait)
+				}
+			}
+		}
+		if most < agedAfter.Duration()+at(10) {
+			w.t.Errorf("no job waited for longer than %v: there was room", most)
+		}
+	})
+}
--- a/step.go
+++ b/step.go
@@ -116,6 +116,7 @@
 	res := plan.Make(g.picture(now, round))
 	g.fresh = false
 	g.keep(res.Hold)
+	g.pic.Turns = res.Turns
 	for _, l := range res.Launch {
 		j := g.jobs[l.Task.Job]
 		pc := &j.pieces[l.Task.Index]
