--- a/api/api.go
+++ b/api/api.go
@@ -273,7 +273,7 @@
 func final(uid string, over *store.OverRecord) wire.View {
 	v := wire.View{UID: uid, Status: over.Status}
 	if over.Status == wire.JobDone {
-		v.Done = over.Pieces
+		v.Done = over.Tasks
 	}
 	return v
 }
--- a/bench_test.go
+++ b/bench_test.go
@@ -367,7 +367,7 @@
 				var at int
 				fmt.Sscanf(m.Name, "n-%d", &at)
 				m.Each(func(bk *fleet.Booking) {
-					st := wire.PieceReport{Piece: bk.Piece.String(), Try: bk.Try, Status: wire.PieceRunning}
+					st := wire.PieceReport{Piece: bk.Task.String(), Try: bk.Attempt, Status: wire.PieceRunning}
 					if round == 2 {
 						st.Status, st.Cause = wire.PieceEnded, wire.CauseDone
 					}
--- a/engine.go
+++ b/engine.go
@@ -20,18 +20,18 @@
 	"cedardoor/wire"
 )
 
-type pieceState uint8
+type taskState uint8
 
 const (
-	pieceWaiting pieceState = iota
-	piecePlaced
-	pieceDone
+	taskWaiting taskState = iota
+	taskPlaced
+	taskDone
 )
 
-// piece is one task as the leader sees it.
-type piece struct {
-	state     pieceState
-	try       uint64
+// task is one task as the leader sees it.
+type task struct {
+	state     taskState
+	attempt   uint64
 	booking   *fleet.Booking // where it is, when placed
 	target    *fleet.Booking // where it goes once it has left, when it moves
 	notBefore clock.Micros   // backing off until
@@ -59,7 +59,7 @@
 	order     int64
 	cancelled bool
 	calledOff bool // said to be cancelled, and not yet looked up: its tasks stop, none is started
-	pieces    []piece
+	tasks     []task
 	waiting   []int
 	done      int
 	chunks    []chunk
@@ -105,7 +105,7 @@
 		j.slab.seq++
 		return &j.slab.chunk
 	}
-	c := &j.chunks[index/store.ChunkPieces]
+	c := &j.chunks[index/store.ChunkTasks]
 	c.seq++
 	return c
 }
@@ -243,8 +243,8 @@
 // wait puts a task among those that wait. The caller holds mu.
 func (g *term) wait(j *job, index int) {
 	// It may stand there still from before an attempt: twice, it would be placed twice.
-	if !j.pieces[index].listed {
-		j.pieces[index].listed = true
+	if !j.tasks[index].listed {
+		j.tasks[index].listed = true
 		j.waiting = append(j.waiting, index)
 	}
 	g.queue[j] = true
@@ -400,19 +400,19 @@
 		}
 		j.chunks[n].stamp = row.Stamp
 		if j.cancelled {
-			for len(j.pieces) < (n+1)*store.ChunkPieces {
-				j.pieces = append(j.pieces, piece{})
+			for len(j.tasks) < (n+1)*store.ChunkTasks {
+				j.tasks = append(j.tasks, task{})
 			}
 			g.dirty[uid] = true
 		}
-		base := n * store.ChunkPieces
-		ended, runs, err := rec.Unpack(min(store.ChunkPieces, len(j.pieces)-base))
+		base := n * store.ChunkTasks
+		ended, runs, err := rec.Unpack(min(store.ChunkTasks, len(j.tasks)-base))
 		if err != nil {
 			return 0, fmt.Errorf("record %s: %w", row.Path, err)
 		}
 		for i, d := range ended {
 			if d {
-				j.pieces[base+i].state = pieceDone
+				j.tasks[base+i].state = taskDone
 				j.done++
 			}
 		}
@@ -430,18 +430,18 @@
 			j := g.jobs[r.UID]
 			// A job that is done has ended wherever it was.
 			if spec, over := left[r.UID]; j == nil && over && r.Host != "" && !done[r.UID] {
-				j = &job{uid: r.UID, spec: spec, cancelled: true, pieces: make([]piece, 1)}
+				j = &job{uid: r.UID, spec: spec, cancelled: true, tasks: make([]task, 1)}
 				j.pj = g.planJob(j)
 				g.jobs[r.UID] = j
 				g.dirty[r.UID] = true
 			}
-			if j == nil || len(j.pieces) != 1 {
+			if j == nil || len(j.tasks) != 1 {
 				s.seq++ // nothing of it can be anywhere: its row goes
 				continue
 			}
 			j.slab = s
 			s.jobs = append(s.jobs, j)
-			g.adopt(j, 0, store.Placed{Try: r.Try, Host: r.Host, Session: r.Session}, now)
+			g.adopt(j, 0, store.Placed{Attempt: r.Attempt, Host: r.Host, Session: r.Session}, now)
 		}
 		if s.seq > 0 || len(s.jobs) == 0 {
 			s.seq++
@@ -456,19 +456,19 @@
 		}
 		j.waiting = j.waiting[:0]
 		delete(g.queue, j)
-		for i := range j.pieces {
-			j.pieces[i].listed = false
-			if j.pieces[i].state == pieceWaiting {
+		for i := range j.tasks {
+			j.tasks[i].listed = false
+			if j.tasks[i].state == taskWaiting {
 				g.wait(j, i)
 			}
 		}
-		if j.done == len(j.pieces) {
+		if j.done == len(j.tasks) {
 			g.dirty[j.uid] = true
 		}
 		// What a predecessor knew of a job that fails everywhere went with it: one all
 		// of whose attempts are over without any result is tried with one task first.
 		j.trial.good = j.done > 0
-		j.trial.wary = j.started && j.done == 0 && len(j.waiting) == len(j.pieces)
+		j.trial.wary = j.started && j.done == 0 && len(j.waiting) == len(j.tasks)
 	}
 	g.loaded = true
 	g.read(epoch, began, spell, held)
@@ -478,8 +478,8 @@
 
 // adopt takes in an attempt that a predecessor recorded. The caller holds mu.
 func (g *term) adopt(j *job, index int, p store.Placed, now clock.Micros) {
-	pc := &j.pieces[index]
-	pc.try, pc.ran = p.Try, true
+	pc := &j.tasks[index]
+	pc.attempt, pc.ran = p.Attempt, true
 	j.started = true
 	if p.Host == "" {
 		return
@@ -488,23 +488,23 @@
 	m := g.fl.Ensure(p.Host, now)
 	g.unheard[m] = true
 	m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(clock.Drift)+clock.Second)
-	b := g.booking(j, index, p.Try)
+	b := g.booking(j, index, p.Attempt)
 	b.Session = p.Session
 	g.fl.Adopt(m, b, now)
 	if j.cancelled {
 		b.Halt, b.HaltAt = true, now
 	}
-	pc.state, pc.booking = piecePlaced, b
+	pc.state, pc.booking = taskPlaced, b
 }
 
 // leftOf is what the tasks of a job that is over take, where some are left.
 func leftOf(uid string, rec *store.OverRecord) wire.Spec {
-	return wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Pieces}
+	return wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Tasks}
 }
 
-func (g *term) booking(j *job, index int, try uint64) *fleet.Booking {
+func (g *term) booking(j *job, index int, attempt uint64) *fleet.Booking {
 	s := &j.spec
-	return &fleet.Booking{Tag: j, Piece: fleet.PieceID{Job: j.uid, Index: index}, Try: try, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
+	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
 		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithBeat: j.unhurried()}
 }
 
@@ -527,11 +527,11 @@
 	}
 	rank, _ := wire.RankOf(s.Rank)
 	j := &job{uid: s.UID, spec: s, rank: rank, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
-		pieces: make([]piece, s.Pieces), waiting: make([]int, s.Pieces),
-		chunks: make([]chunk, (s.Pieces+store.ChunkPieces-1)/store.ChunkPieces)}
+		tasks: make([]task, s.Pieces), waiting: make([]int, s.Pieces),
+		chunks: make([]chunk, (s.Pieces+store.ChunkTasks-1)/store.ChunkTasks)}
 	for i := range j.waiting {
 		j.waiting[i] = i
-		j.pieces[i].listed = true
+		j.tasks[i].listed = true
 	}
 	j.pj = g.planJob(j)
 	g.jobs[s.UID] = j
@@ -566,7 +566,7 @@
 			within = o.WithinS
 		}
 	}
-	return &plan.Job{ImageGB: s.ImageGB, Within: clock.FromSeconds(within), UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Pieces: s.Pieces,
+	return &plan.Job{ImageGB: s.ImageGB, Within: clock.FromSeconds(within), UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Tasks: s.Pieces,
 		Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Zone: s.Yard, SamePlace: s.SamePlace,
 		Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Group: j.group(), Slack: noSlack,
 		Zones: map[string]int{}, Machines: map[string]int{}}
@@ -594,8 +594,8 @@
 	if j.result != nil {
 		j.result.Settled = true // nobody has any use for it any more
 	}
-	for i := range j.pieces {
-		pc := &j.pieces[i]
+	for i := range j.tasks {
+		pc := &j.tasks[i]
 		if pc.target != nil {
 			g.fl.Remove(pc.target, now)
 			pc.target = nil
@@ -614,21 +614,21 @@
 }
 
 // unplace notes that a task's attempt is over. The caller holds mu.
-func unplace(pc *piece) {
+func unplace(pc *task) {
 	pc.booking = nil
-	pc.state = pieceWaiting
+	pc.state = taskWaiting
 }
 
 // news takes in what the fleet has learned. The caller holds mu.
 func (g *term) news(list []fleet.News, now clock.Micros) {
 	for _, n := range list {
 		b := n.Booking
-		j := g.jobs[b.Piece.Job]
-		if j == nil || b.Piece.Index >= len(j.pieces) {
+		j := g.jobs[b.Task.Job]
+		if j == nil || b.Task.Index >= len(j.tasks) {
 			b.Settled = true
 			continue
 		}
-		pc := &j.pieces[b.Piece.Index]
+		pc := &j.tasks[b.Task.Index]
 		if pc.target == b {
 			pc.target = nil
 			b.Settled = true
@@ -643,7 +643,7 @@
 			j.started = true
 			j.running++
 			g.met.Start(now - j.seen)
-			g.log.Debug("task started", "piece", b.Piece.String(), "lane", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
+			g.log.Debug("task started", "task", b.Task.String(), "lane", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
 				"placed", (b.Since - j.seen).Seconds(), "fetch", (now - b.Since).Seconds())
 			continue
 		}
@@ -652,12 +652,12 @@
 }
 
 // ended takes in the end of a task's attempt. The caller holds mu.
-func (g *term) ended(j *job, pc *piece, b *fleet.Booking, gone bool, now clock.Micros) {
+func (g *term) ended(j *job, pc *task, b *fleet.Booking, gone bool, now clock.Micros) {
 	unplace(pc)
 	if b.Running > 0 {
 		j.running--
 	}
-	c := j.touch(b.Piece.Index)
+	c := j.touch(b.Task.Index)
 	if j.slab != nil && g.slab != j.slab && j.slab.stamp > 0 {
 		g.untidy[j.slab] = true
 	}
@@ -683,9 +683,9 @@
 			g.fl.Remove(pc.target, now)
 			pc.target = nil
 		}
-		pc.state = pieceDone
+		pc.state = taskDone
 		j.done++
-		if j.done == len(j.pieces) {
+		if j.done == len(j.tasks) {
 			g.dirty[j.uid] = true
 		}
 		if g.strikes[m] != nil {
@@ -703,7 +703,7 @@
 		}
 		return
 	}
-	g.log.Debug("task ended", "piece", b.Piece.String(), "try", b.Try, "cause", cause, "host", m.Name, "halt", b.Halt)
+	g.log.Debug("task ended", "task", b.Task.String(), "attempt", b.Attempt, "cause", cause, "host", m.Name, "halt", b.Halt)
 	switch cause {
 	case wire.CauseError:
 		ran := clock.Micros(0)
@@ -721,18 +721,18 @@
 		// The source's stop is confirmed: the room booked at the target is taken up.
 		pc.target = nil
 		if !t.Ended && t.Session == t.Machine.Session && t.Machine.Banned == "" {
-			pc.state, pc.booking, pc.try = piecePlaced, t, t.Try
+			pc.state, pc.booking, pc.attempt = taskPlaced, t, t.Attempt
 			g.dirty[j.uid] = true
 			return
 		}
 		g.fl.Remove(t, now)
 	}
-	g.wait(j, b.Piece.Index)
+	g.wait(j, b.Task.Index)
 	if j.group() {
 		// Without this task the others cannot go on: they stop now, and the group
 		// is started again whole.
-		for i := range j.pieces {
-			if o := j.pieces[i].booking; o != nil && !o.Halt {
+		for i := range j.tasks {
+			if o := j.tasks[i].booking; o != nil && !o.Halt {
 				g.halt(j, o, now)
 			}
 		}
@@ -843,7 +843,7 @@
 // prune drops waiting entries that no longer wait.
 func (j *job) prune() {
 	j.waiting = slices.DeleteFunc(j.waiting, func(i int) bool {
-		j.pieces[i].listed = j.pieces[i].state == pieceWaiting
-		return !j.pieces[i].listed
+		j.tasks[i].listed = j.tasks[i].state == taskWaiting
+		return !j.tasks[i].listed
 	})
 }
--- a/engine_test.go
+++ b/engine_test.go
@@ -330,9 +330,9 @@
 	s.settle(g) // the run is kept back; the token is raised against it
 	beat(t, g, other)
 	g.mu.Lock()
-	b := g.jobs["j-1"].pieces[0].booking
+	b := g.jobs["j-1"].tasks[0].booking
 	g.halt(g.jobs["j-1"], b, g.ck.Now())
-	still := g.jobs["j-1"].pieces[0].booking == b
+	still := g.jobs["j-1"].tasks[0].booking == b
 	g.mu.Unlock()
 	if !still {
 		t.Fatal("freed while a run may still arrive")
@@ -1023,7 +1023,7 @@
 	now := g.ck.Now()
 	g.plan(now)
 	j := g.jobs["j-1"]
-	g.halt(j, j.pieces[0].booking, now) // never sent, so it is gone at once
+	g.halt(j, j.tasks[0].booking, now) // never sent, so it is gone at once
 	g.fresh = true
 	g.plan(now)
 	if got := g.fl.Machine("n-1").Bookings(); got != 1 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,30 +18,30 @@
 	"cedardoor/wire"
 )
 
-// PieceID names a task.
-type PieceID struct {
+// TaskID names a task.
+type TaskID struct {
 	Job   string
 	Index int
 }
 
 // String gives the protocol's form.
-func (p PieceID) String() string { return p.Job + "/" + strconv.Itoa(p.Index) }
+func (p TaskID) String() string { return p.Job + "/" + strconv.Itoa(p.Index) }
 
-// ParsePiece reads the protocol's form.
-func ParsePiece(s string) (PieceID, bool) {
+// ParseTask reads the protocol's form.
+func ParseTask(s string) (TaskID, bool) {
 	job, num, found := strings.Cut(s, "/")
 	n, err := strconv.Atoi(num)
 	if !found || err != nil || n < 0 || !wire.ValidUID(job) {
-		return PieceID{}, false
+		return TaskID{}, false
 	}
-	return PieceID{Job: job, Index: n}, true
+	return TaskID{Job: job, Index: n}, true
 }
 
 // Booking is one attempt of a task on a machine, from its reservation until
 // the worker has forgotten it.
 type Booking struct {
-	Piece   PieceID
-	Try     uint64
+	Task    TaskID
+	Attempt uint64
 	Machine *Machine
 	Session uint64
 	Cores   float64
@@ -149,8 +149,8 @@
 
 // key names an attempt on a machine.
 type key struct {
-	piece PieceID
-	try   uint64
+	task    TaskID
+	attempt uint64
 }
 
 type stray struct{ ended bool }
@@ -347,7 +347,7 @@
 	b.Since = now
 	b.place, b.off = len(m.list), false
 	m.list = append(m.list, b)
-	m.byKey[key{b.Piece, b.Try}] = b
+	m.byKey[key{b.Task, b.Attempt}] = b
 	m.UsedCores += b.Cores
 	m.UsedAccel += b.Accel
 	m.UsedRAM += b.RAM
@@ -394,7 +394,7 @@
 	b.off = true
 	delete(f.doubts, b)
 	delete(f.repeats, b)
-	if k := (key{b.Piece, b.Try}); m.byKey[k] == b {
+	if k := (key{b.Task, b.Attempt}); m.byKey[k] == b {
 		delete(m.byKey, k)
 	}
 	copy(m.list[b.place:], m.list[b.place+1:])
@@ -525,7 +525,7 @@
 	for i := range rep.Pieces {
 		f.Visits++
 		p := &rep.Pieces[i]
-		id, ok := ParsePiece(p.Piece)
+		id, ok := ParseTask(p.Piece)
 		k := key{id, p.Try}
 		var b *Booking
 		if ok {
@@ -833,9 +833,9 @@
 		// Not on the books here: it is stopped, then forgotten.
 		if !m.strays[s].ended {
 			zero := 0.0
-			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.piece.String(), Try: s.try, LeewayS: &zero})
+			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.task.String(), Try: s.attempt, LeewayS: &zero})
 		} else if viaBeat && m.Token >= f.first {
-			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.piece.String(), Try: s.try})
+			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.task.String(), Try: s.attempt})
 		}
 	}
 	for _, b := range m.list {
@@ -849,18 +849,18 @@
 		switch {
 		case b.Ended:
 			if b.Settled && !b.copiesOut() && b.Status == wire.PieceEnded {
-				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: b.Piece.String(), Try: b.Try})
+				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: b.Task.String(), Try: b.Attempt})
 			} else if b.Status != "" && b.Status != wire.PieceEnded {
 				// Started once more by a copy, in a new process.
 				zero := 0.0
-				orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: b.Piece.String(), Try: b.Try, LeewayS: &zero})
+				orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: b.Task.String(), Try: b.Attempt, LeewayS: &zero})
 			}
 		case b.Halt:
 			if b.Status != "" && b.Status != wire.PieceEnded {
 				orders = append(orders, b.halt(now))
 			}
 		case b.Recorded && scope == Everything && b.Status == "" && b.flying == 0 && (viaBeat || !b.WithBeat || m.CountsAnew()):
-			runs = append(runs, wire.Order{Verb: wire.VerbRun, Piece: b.Piece.String(), Try: b.Try})
+			runs = append(runs, wire.Order{Verb: wire.VerbRun, Piece: b.Task.String(), Try: b.Attempt})
 			if viaBeat {
 				b.beatTally = m.Tally
 			}
@@ -888,7 +888,7 @@
 // halt is the command that stops an attempt, with what is left of its leeway.
 func (b *Booking) halt(now clock.Micros) wire.Order {
 	left := max(0, b.Leeway-(now-b.HaltAt).Seconds())
-	return wire.Order{Verb: wire.VerbHalt, Piece: b.Piece.String(), Try: b.Try, LeewayS: &left}
+	return wire.Order{Verb: wire.VerbHalt, Piece: b.Task.String(), Try: b.Attempt, LeewayS: &left}
 }
 
 func sorted(in map[key]stray) []key {
@@ -897,7 +897,7 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b key) int {
-		return cmp.Or(strings.Compare(a.piece.Job, b.piece.Job), cmp.Compare(a.piece.Index, b.piece.Index), cmp.Compare(a.try, b.try))
+		return cmp.Or(strings.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.attempt, b.attempt))
 	})
 	return keys
 }
@@ -949,7 +949,7 @@
 		if o.Verb != wire.VerbRun {
 			continue
 		}
-		if id, ok := ParsePiece(o.Piece); ok {
+		if id, ok := ParseTask(o.Piece); ok {
 			b := m.byKey[key{id, o.Try}]
 			b.flying++
 			fl.runs = append(fl.runs, b)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 	report = 3 * clock.Second
 )
 
-var piece0 = PieceID{Job: "j-1", Index: 0}
+var task0 = TaskID{Job: "j-1", Index: 0}
 
 func rep(session, tally, token uint64, pieces ...wire.PieceReport) *wire.Beat {
 	return &wire.Beat{Host: "n-1", Endpoint: "e", Build: "b", Yard: "x", Tenure: session, Tally: tally, Warrant: token, Pieces: pieces}
@@ -31,7 +31,7 @@
 	f.Report(1, rep(1, 1, 0), true)
 	m := f.Machine("n-1")
 	f.Answered(m, 1, 5)
-	b := &Booking{Piece: piece0, Try: 1, Session: 1, Cores: 2, RAM: 4}
+	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2, RAM: 4}
 	f.Reserve(m, b, 1)
 	b.Recorded = true
 	return f, m, b
@@ -116,7 +116,7 @@
 		if f.Crowded() {
 			t.Fatalf("presses after %d results", i)
 		}
-		b := &Booking{Piece: PieceID{Job: "j-2", Index: i}, Try: 1, Session: 1}
+		b := &Booking{Task: TaskID{Job: "j-2", Index: i}, Attempt: 1, Session: 1}
 		f.Reserve(m, b, 2)
 		f.release(b, 3)
 	}
@@ -130,7 +130,7 @@
 	f, m, _ := booked(t)
 	const n = 3 * maxOrders / 2
 	for i := range n {
-		b := &Booking{Piece: PieceID{Job: "j-123456789", Index: 10000 + i}, Try: 123456, Session: 1, Cores: 0.001}
+		b := &Booking{Task: TaskID{Job: "j-123456789", Index: 10000 + i}, Attempt: 123456, Session: 1, Cores: 0.001}
 		f.Reserve(m, b, 2)
 		b.Recorded = true
 	}
@@ -219,7 +219,7 @@
 func TestAdoptedRunIsRepeated(t *testing.T) {
 	f := New(lease, report, 5)
 	m := f.Ensure("n-1", 1)
-	b := &Booking{Piece: piece0, Try: 1, Session: 1, Cores: 2}
+	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2}
 	f.Adopt(m, b, 1)
 	f.Report(2, rep(1, 7, 4), true)
 	f.Answered(m, 2, 5)
@@ -241,7 +241,7 @@
 				f.Report(1, rep(2, 6, 4), true)
 			}
 			for _, session := range sessions {
-				f.Adopt(m, &Booking{Piece: PieceID{Job: "j-1", Index: int(session)}, Try: 1, Session: session, Cores: 2}, 1)
+				f.Adopt(m, &Booking{Task: TaskID{Job: "j-1", Index: int(session)}, Attempt: 1, Session: session, Cores: 2}, 1)
 			}
 			if news, _ := f.Report(2, rep(2, 7, 4), true); len(news) > 0 {
 				t.Errorf("news %+v of what may be a copy from before the term", news)
@@ -297,7 +297,7 @@
 		}},
 		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, b *Booking) {
 			f.Report(3, rep(2, 1, 5), true)
-			b2 := &Booking{Piece: piece0, Try: 2, Session: 2, Cores: 2}
+			b2 := &Booking{Task: task0, Attempt: 2, Session: 2, Cores: 2}
 			f.Reserve(m, b2, 3)
 			b2.Recorded = true
 			f.Orders(m, 3, true, Everything)
@@ -322,7 +322,7 @@
 	f := New(lease, report, 5)
 	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
 	m := f.Ensure("n-1", 1)
-	b := &Booking{Piece: piece0, Try: 1, Session: 1, Cores: 2}
+	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2}
 	f.Adopt(m, b, 1)
 	if news, _ := f.Report(2, rep(1, 3, 4), true); gone(news) || !b.Live() {
 		t.Fatal("a copy from before the run proved it absent")
@@ -364,8 +364,8 @@
 func TestNewProcessCountsAgain(t *testing.T) {
 	f, m, b := booked(t)
 	f.Report(2, rep(3, 40, 5), true)
-	sure := &Booking{Piece: PieceID{Job: "j-2"}, Try: 1, Session: 3, Cores: 1}
-	doubtful := &Booking{Piece: PieceID{Job: "j-3"}, Try: 1, Session: 3, Cores: 1}
+	sure := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 3, Cores: 1}
+	doubtful := &Booking{Task: TaskID{Job: "j-3"}, Attempt: 1, Session: 3, Cores: 1}
 	f.Reserve(m, sure, 3)
 	sure.Recorded = true
 	f.Orders(m, 3, true, Everything)
@@ -418,7 +418,7 @@
 			f, m, _ := booked(t)
 			f.Report(2, rep(tt.session, tt.tally, 5), true)
 			f.Answers(3, m.Mark(), rep(1, 2, 5))
-			b := &Booking{Piece: PieceID{Job: "j-2"}, Try: 1, Session: 1, Cores: 1, WithBeat: true}
+			b := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 1, Cores: 1, WithBeat: true}
 			f.Reserve(m, b, 4)
 			b.Recorded = true
 			if fl := f.Launch(m, 4, 5, Everything); fl == nil || !fl.Runs() {
@@ -486,11 +486,11 @@
 			name := fmt.Sprintf("n-%d", i)
 			f.Report(1, &wire.Beat{Host: name, Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 1, Warrant: 5}, true)
 			for k := range tasks {
-				b := &Booking{Piece: PieceID{Job: "j-1", Index: i*tasks + k}, Try: 1, Session: 1, Cores: 1}
+				b := &Booking{Task: TaskID{Job: "j-1", Index: i*tasks + k}, Attempt: 1, Session: 1, Cores: 1}
 				f.Reserve(f.Machine(name), b, 1)
 				b.Recorded = true
 				if i == 0 {
-					list = append(list, wire.PieceReport{Piece: b.Piece.String(), Try: 1, Status: wire.PieceRunning})
+					list = append(list, wire.PieceReport{Piece: b.Task.String(), Try: 1, Status: wire.PieceRunning})
 				}
 			}
 		}
--- a/gap_test.go
+++ b/gap_test.go
@@ -395,7 +395,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b := g.jobs["j-1"].pieces[0].booking; b == nil || b.Ended {
+	if b := g.jobs["j-1"].tasks[0].booking; b == nil || b.Ended {
 		t.Error("freed without a proof")
 	}
 }
--- a/knowledge.go
+++ b/knowledge.go
@@ -176,8 +176,8 @@
 		}
 		j.calledOff = true
 		g.calledOff[j] = now
-		for i := range j.pieces {
-			pc := &j.pieces[i]
+		for i := range j.tasks {
+			pc := &j.tasks[i]
 			if pc.target != nil {
 				g.fl.Remove(pc.target, now)
 				pc.target = nil
--- a/model_test.go
+++ b/model_test.go
@@ -1303,7 +1303,7 @@
 	for _, m := range g.fl.Machines() {
 		text += fmt.Sprintf("\n%s %s %s cores %v banned %q cordoned %v usable %v tally %d token %d unheard %d;", m.Name, m.Build, m.Zone, m.UsedCores, m.Banned, m.Cordoned,
 			g.usable(m, g.ck.Now()), m.Tally, m.Token, m.Unheard)
-		m.Each(func(b *fleet.Booking) { text += fmt.Sprintf("\n  %v#%d %+v", b.Piece, b.Try, *b) })
+		m.Each(func(b *fleet.Booking) { text += fmt.Sprintf("\n  %v#%d %+v", b.Task, b.Attempt, *b) })
 	}
 	return text
 }
--- a/picture.go
+++ b/picture.go
@@ -105,10 +105,10 @@
 			return
 		}
 		j, ok := b.Tag.(*job)
-		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.pieces)-j.done-len(j.waiting) <= plan.AgedTasks || j.pieces[b.Piece.Index].booking != b {
+		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.tasks)-j.done-len(j.waiting) <= plan.AgedTasks || j.tasks[b.Task.Index].booking != b {
 			return
 		}
-		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Piece.Index}, Job: j.pj, Rank: j.rank,
+		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Task.Index}, Job: j.pj, Rank: j.rank,
 			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running})
 	})
 	slices.SortStableFunc(pm.Lower, func(a, b plan.Victim) int {
@@ -171,11 +171,11 @@
 		idx := make([]int, 0, min(len(tries), most))
 		lost := false
 		for _, i := range tries {
-			if j.pieces[i].notBefore > now {
+			if j.tasks[i].notBefore > now {
 				continue
 			}
 			idx = append(idx, i)
-			lost = lost || j.pieces[i].ran
+			lost = lost || j.tasks[i].ran
 			if len(idx) >= most && !j.group() {
 				break
 			}
@@ -183,7 +183,7 @@
 		if len(idx) == 0 {
 			continue
 		}
-		pj.Started, pj.Left = j.started, len(j.pieces)-j.done
+		pj.Started, pj.Left = j.started, len(j.tasks)-j.done
 		pj.Part = !j.started && clock.Micros(j.at)+agedAfter < wall
 		pj.Aged = pj.Part && !j.standing() && !pj.Probe
 		pj.Slack = j.slack(wall)
@@ -254,7 +254,7 @@
 			continue
 		}
 		u := sum[j.spec.Owner]
-		n := float64(len(j.pieces) - j.done)
+		n := float64(len(j.tasks) - j.done)
 		u.cores += n * j.spec.Cores
 		u.accel += n * j.spec.Accel
 		sum[j.spec.Owner] = u
@@ -285,7 +285,7 @@
 			if !b.Live() || b.Halt || !known || j.cancelled || j.group() {
 				return
 			}
-			pc := &j.pieces[b.Piece.Index]
+			pc := &j.tasks[b.Task.Index]
 			if pc.booking != b || pc.target != nil {
 				return
 			}
@@ -301,7 +301,7 @@
 			default:
 				return
 			}
-			p.Candidates = append(p.Candidates, plan.Candidate{Job: j.pj, Index: b.Piece.Index, Machine: m.Name, Reason: reason})
+			p.Candidates = append(p.Candidates, plan.Candidate{Job: j.pj, Index: b.Task.Index, Machine: m.Name, Reason: reason})
 		})
 	}
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -73,7 +73,7 @@
 	UID, Team         string
 	Rank              wire.Rank
 	Standing          bool
-	Pieces            int
+	Tasks             int
 	Cores, Accel, RAM float64
 	Builds            []string
 	Zone              string
@@ -893,7 +893,7 @@
 		var m *Machine
 		switch {
 		case pl.stays(c, from):
-		case c.Job.SamePlace && c.Job.Pieces > 1:
+		case c.Job.SamePlace && c.Job.Tasks > 1:
 			m = pl.target(c.Job, from.Zone, from)
 		default:
 			m = pl.target(c.Job, "", from)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -19,7 +19,7 @@
 }
 
 func newJob(uid string, pieces int, cores, ram float64) *Job {
-	return &Job{UID: uid, Team: "t", Rank: wire.RankStandard, Pieces: pieces, Cores: cores, RAM: ram, Loaned: true,
+	return &Job{UID: uid, Team: "t", Rank: wire.RankStandard, Tasks: pieces, Cores: cores, RAM: ram, Loaned: true,
 		Zones: map[string]int{}, Machines: map[string]int{}}
 }
 
@@ -126,8 +126,8 @@
 		{"no type at all", func(j *Job, _ *Machine, _ *Picture) { j.Builds = []string{} }, false},
 		{"zone", func(j *Job, _ *Machine, _ *Picture) { j.Zone = "y" }, false},
 		{"spot", func(j *Job, m *Machine, _ *Picture) { j.Loaned, m.Loaned = false, true }, false},
-		{"zone cap reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Pieces, j.Zones["x"] = true, 3, 2 }, false},
-		{"zone cap not reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Pieces, j.Zones["x"] = true, 4, 1 }, true},
+		{"zone cap reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Tasks, j.Zones["x"] = true, 3, 2 }, false},
+		{"zone cap not reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Tasks, j.Zones["x"] = true, 4, 1 }, true},
 		{"one zone, elsewhere", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["y"] = true, 1 }, false},
 		{"one zone, here", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["x"] = true, 1 }, true},
 		{"limit", func(_ *Job, _ *Machine, p *Picture) { p.Team["t"] = &Quota{CoresMax: 3, Cores: 2} }, false},
@@ -344,7 +344,7 @@
 				from = 1
 			}
 			var idx []int
-			for k := from; k < j.Pieces; k++ {
+			for k := from; k < j.Tasks; k++ {
 				idx = append(idx, k)
 			}
 			if len(idx) > 0 {
@@ -381,7 +381,7 @@
 			if barred[a.machine] {
 				t.Fatalf("seed %d: %s placed on barred %s", seed, a.job, a.machine)
 			}
-			if j.Apart && count[a.job][zone[a.machine]] > (j.Pieces+1)/2 {
+			if j.Apart && count[a.job][zone[a.machine]] > (j.Tasks+1)/2 {
 				t.Fatalf("seed %d: %s beyond its zone cap", seed, a.job)
 			}
 			if lim := p.Team[j.Team].CoresMax; lim > 0 && !over && used[j.Team] > lim+1e-6 {
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -81,7 +81,7 @@
 
 // Allows implements Rule.
 func (ZoneCap) Allows(_ *Picture, j *Job, m *Machine) bool {
-	return !j.Apart || j.Zones[m.Zone]+j.Anywhere < (j.Pieces+1)/2
+	return !j.Apart || j.Zones[m.Zone]+j.Anywhere < (j.Tasks+1)/2
 }
 
 // OneZone keeps a same_place job in the zone where any of it may be.
--- a/record.go
+++ b/record.go
@@ -57,7 +57,7 @@
 }
 
 // single tells whether a job's only task is recorded with those of other jobs.
-func (j *job) single() bool { return len(j.pieces) == 1 && !j.standing() && !j.group() }
+func (j *job) single() bool { return len(j.tasks) == 1 && !j.standing() && !j.group() }
 
 // intoSlab finds a job a record for its only task's attempts. The caller holds mu.
 func (g *term) intoSlab(j *job) {
@@ -165,7 +165,7 @@
 		switch {
 		case j.cancelled:
 			clean = g.collectGone(w, j, most)
-		case j.done == len(j.pieces) && !j.standing():
+		case j.done == len(j.tasks) && !j.standing():
 			g.collectOver(w, j)
 		case j.slab != nil:
 			clean = g.collectSlab(w, j.slab)
@@ -202,24 +202,24 @@
 
 func (g *term) collectChunk(w *write, j *job, n int) {
 	c := &j.chunks[n]
-	base := n * store.ChunkPieces
-	end := min(base+store.ChunkPieces, len(j.pieces))
+	base := n * store.ChunkTasks
+	end := min(base+store.ChunkTasks, len(j.tasks))
 	done := make([]bool, end-base)
 	var runs []store.Placed
 	wr := written{c: c, key: store.ChunkKey(j.uid, n), j: j, seq: c.seq, ended: c.ending}
 	c.ending = nil
 	for i := base; i < end; i++ {
-		pc := &j.pieces[i]
+		pc := &j.tasks[i]
 		switch {
-		case pc.state == pieceDone:
+		case pc.state == taskDone:
 			done[i-base] = true
 		case pc.booking != nil:
-			runs = append(runs, store.Placed{Index: i - base, Try: pc.try, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
+			runs = append(runs, store.Placed{Index: i - base, Attempt: pc.attempt, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
 			if !pc.booking.Recorded {
 				wr.recorded = append(wr.recorded, pc.booking)
 			}
-		case pc.try > 0:
-			runs = append(runs, store.Placed{Index: i - base, Try: pc.try})
+		case pc.attempt > 0:
+			runs = append(runs, store.Placed{Index: i - base, Attempt: pc.attempt})
 		}
 	}
 	w.txn.When = append(w.txn.When, wire.When{Path: wr.key, Stamp: c.stamp})
@@ -239,16 +239,16 @@
 	rec := store.SlabRecord{Nonce: w.nonce, Rows: []store.SlabRow{}}
 	when := []wire.When{{Path: s.key, Stamp: s.stamp}}
 	for _, j := range s.jobs {
-		pc := &j.pieces[0]
+		pc := &j.tasks[0]
 		switch {
 		case pc.booking != nil:
-			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Try: pc.try, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
+			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Attempt: pc.attempt, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
 			if !pc.booking.Recorded && !j.cancelled {
 				wr.recorded = append(wr.recorded, pc.booking)
 				when = append(when, wire.When{Path: store.JobKey(j.uid), Stamp: j.stamp})
 			}
-		case pc.try > 0:
-			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Try: pc.try})
+		case pc.attempt > 0:
+			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Attempt: pc.attempt})
 		}
 	}
 	if len(w.txn.When)+len(when) > 4*g.cfg.Facts.State.TxnOps && len(w.txn.Apply) > 0 {
@@ -323,8 +323,8 @@
 // collectGone deletes a cancelled job's records once none of its tasks can
 // exist any more; false while some may.
 func (g *term) collectGone(w *write, j *job, most int) bool {
-	for i := range j.pieces {
-		if j.pieces[i].booking != nil {
+	for i := range j.tasks {
+		if j.tasks[i].booking != nil {
 			return true // its end will mark the job again
 		}
 	}
@@ -434,7 +434,7 @@
 // againSlab does what again does for the jobs of a shared record. The caller holds mu.
 func (g *term) againSlab(s *slab, now clock.Micros) {
 	for _, j := range s.jobs {
-		switch b := j.pieces[0].booking; {
+		switch b := j.tasks[0].booking; {
 		case j.cancelled:
 		case b != nil && !b.Recorded || j.done == 1:
 			g.dirty[j.uid] = true
@@ -448,7 +448,7 @@
 // again marks a job whose record is behind: at once if a placement waits for it.
 // The caller holds mu.
 func (g *term) again(j *job, now clock.Micros) {
-	if j.cancelled || j.done == len(j.pieces) {
+	if j.cancelled || j.done == len(j.tasks) {
 		g.dirty[j.uid] = true
 		return
 	}
@@ -457,9 +457,9 @@
 		if c.seq == c.saved {
 			continue
 		}
-		base := n * store.ChunkPieces
-		for i := base; i < min(base+store.ChunkPieces, len(j.pieces)); i++ {
-			if b := j.pieces[i].booking; b != nil && !b.Recorded {
+		base := n * store.ChunkTasks
+		for i := base; i < min(base+store.ChunkTasks, len(j.tasks)); i++ {
+			if b := j.tasks[i].booking; b != nil && !b.Recorded {
 				g.dirty[j.uid] = true
 				return
 			}
--- a/size_test.go
+++ b/size_test.go
@@ -42,7 +42,7 @@
 			b := g.booking(j, i, 1)
 			b.Session = 1
 			g.fl.Adopt(m, b, now)
-			j.pieces[i].state, j.pieces[i].booking, j.pieces[i].try = piecePlaced, b, 1
+			j.tasks[i].state, j.tasks[i].booking, j.tasks[i].attempt = taskPlaced, b, 1
 		}
 	}
 	return s, g
--- a/sizing.go
+++ b/sizing.go
@@ -260,12 +260,12 @@
 			continue // it is tried now and then, but nothing is rented for it
 		}
 		running := 0
-		for i := range j.pieces {
-			if j.pieces[i].state == piecePlaced {
+		for i := range j.tasks {
+			if j.tasks[i].state == taskPlaced {
 				running++
 			}
 		}
-		waiting := len(j.pieces) - j.done - running
+		waiting := len(j.tasks) - j.done - running
 		add := func(l *cloud.Load, n float64) {
 			l.Cores += n * s.Cores
 			l.RAM += n * s.RAM
@@ -298,7 +298,7 @@
 		if !j.counted {
 			j.counted = true
 			var l cloud.Load
-			add(&l, run*float64(len(j.pieces)))
+			add(&l, run*float64(len(j.tasks)))
 			first := g.seeded == (cloud.Load{}) && now-g.r.Since < firstLook
 			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first, job: j})
 		}
@@ -427,7 +427,7 @@
 	found := map[key]*cloud.Bound{}
 	for _, j := range g.jobs {
 		s := &j.spec
-		left := len(j.pieces) - j.done
+		left := len(j.tasks) - j.done
 		if j.cancelled || j.calledOff || j.trial.bad || left == 0 {
 			continue
 		}
--- a/step.go
+++ b/step.go
@@ -119,11 +119,11 @@
 	g.pic.Turns = res.Turns
 	for _, l := range res.Launch {
 		j := g.jobs[l.Task.Job]
-		pc := &j.pieces[l.Task.Index]
+		pc := &j.tasks[l.Task.Index]
 		m := g.fl.Machine(l.Machine)
-		pc.try++
+		pc.attempt++
 		j.placed = now
-		b := g.booking(j, l.Task.Index, pc.try)
+		b := g.booking(j, l.Task.Index, pc.attempt)
 		b.Session = m.Session
 		j.spared = j.spared || j.pj.Aged
 		if j.pj.Probe {
@@ -133,7 +133,7 @@
 			g.paced--
 		}
 		g.fl.Reserve(m, b, now)
-		pc.state, pc.booking = piecePlaced, b
+		pc.state, pc.booking = taskPlaced, b
 		if j.single() && j.slab == nil && j.chunks[0].stamp == 0 {
 			g.intoSlab(j)
 		}
@@ -143,20 +143,20 @@
 	}
 	for _, id := range res.Preempt {
 		j := g.jobs[id.Job]
-		if b := j.pieces[id.Index].booking; b != nil {
-			g.log.Debug("preempted", "piece", b.Piece.String(), "host", b.Machine.Name)
+		if b := j.tasks[id.Index].booking; b != nil {
+			g.log.Debug("preempted", "task", b.Task.String(), "host", b.Machine.Name)
 			g.halt(j, b, now)
 		}
 	}
 	for _, mv := range res.Moves {
 		j := g.jobs[mv.Task.Job]
-		pc := &j.pieces[mv.Task.Index]
+		pc := &j.tasks[mv.Task.Index]
 		m := g.fl.Machine(mv.To)
-		t := g.booking(j, mv.Task.Index, pc.try+1)
+		t := g.booking(j, mv.Task.Index, pc.attempt+1)
 		t.Session = m.Session
 		g.fl.Reserve(m, t, now)
 		pc.target = t
-		g.log.Info("move", "piece", pc.booking.Piece.String(), "from", mv.From, "to", mv.To, "reason", mv.Reason)
+		g.log.Info("move", "task", pc.booking.Task.String(), "from", mv.From, "to", mv.To, "reason", mv.Reason)
 		g.halt(j, pc.booking, now)
 	}
 	if round {
@@ -203,7 +203,7 @@
 		leeway = b.Stow + 1
 	}
 	if g.fl.Stop(b, leeway, now) {
-		pc := &j.pieces[b.Piece.Index]
+		pc := &j.tasks[b.Task.Index]
 		g.ended(j, pc, b, true, now)
 		return
 	}
--- a/store/records.go
+++ b/store/records.go
@@ -76,7 +76,7 @@
 // SlabRow is the recorded attempt of a job's only task: an empty Host means that it waits.
 type SlabRow struct {
 	UID     string `msgpack:"u"`
-	Try     uint64 `msgpack:"t"`
+	Attempt uint64 `msgpack:"t"`
 	Host    string `msgpack:"h,omitempty"`
 	Session uint64 `msgpack:"s"`
 }
@@ -98,7 +98,7 @@
 // be on their machines, and count for room and for their team's limit.
 type OverRecord struct {
 	Status string  `msgpack:"s"`
-	Pieces int     `msgpack:"p"`
+	Tasks  int     `msgpack:"p"`
 	Nonce  string  `msgpack:"w"`
 	Owner  string  `msgpack:"o"`
 	Cores  float64 `msgpack:"c"`
@@ -108,7 +108,7 @@
 
 // Over makes the final record of a job.
 func Over(s *wire.Spec, status, nonce string) OverRecord {
-	return OverRecord{Status: status, Pieces: s.Pieces, Nonce: nonce, Owner: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM}
+	return OverRecord{Status: status, Tasks: s.Pieces, Nonce: nonce, Owner: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM}
 }
 
 // OverIn gives the final state that a job's record holds; nil when the job is
@@ -126,13 +126,13 @@
 // Placed is a task's recorded attempt: an empty Host means that it waits.
 type Placed struct {
 	Index   int
-	Try     uint64
+	Attempt uint64
 	Host    string
 	Session uint64
 }
 
 // ChunkRecord holds the attempts and results of up to ChunkPieces tasks.
-// Done is a hexadecimal bitmap; Runs holds [index, try, host number, session],
+// Done is a hexadecimal bitmap; Runs holds [index, attempt, host number, session],
 // with host number -1 for a task that waits after an attempt.
 type ChunkRecord struct {
 	Nonce string    `msgpack:"w"`
@@ -141,9 +141,9 @@
 	Runs  [][]int64 `msgpack:"r"`
 }
 
-// ChunkPieces is how many tasks one record holds: 120 rows of at most about 30
+// ChunkTasks is how many tasks one record holds: 120 rows of at most about 30
 // bytes in JSON form and as many host names stay under the smallest value limit.
-const ChunkPieces = 120
+const ChunkTasks = 120
 
 // Pack builds a chunk's record. Indexes count from the chunk's first task.
 func Pack(nonce string, done []bool, runs []Placed) ChunkRecord {
@@ -167,7 +167,7 @@
 			number[r.Host] = n
 			rec.Hosts = append(rec.Hosts, r.Host)
 		}
-		rec.Runs = append(rec.Runs, []int64{int64(r.Index), int64(r.Try), n, int64(r.Session)})
+		rec.Runs = append(rec.Runs, []int64{int64(r.Index), int64(r.Attempt), n, int64(r.Session)})
 	}
 	return rec
 }
@@ -194,7 +194,7 @@
 		if len(r) != 4 || r[0] < 0 || r[0] >= int64(n) || r[1] < 0 || r[2] < -1 || r[2] >= int64(len(rec.Hosts)) || r[3] < 0 {
 			return nil, nil, fmt.Errorf("chunk row %v", r)
 		}
-		p := Placed{Index: int(r[0]), Try: uint64(r[1]), Session: uint64(r[3])}
+		p := Placed{Index: int(r[0]), Attempt: uint64(r[1]), Session: uint64(r[3])}
 		if r[2] >= 0 {
 			p.Host = rec.Hosts[r[2]]
 		}
--- a/store/records_test.go
+++ b/store/records_test.go
@@ -9,21 +9,21 @@
 )
 
 func TestChunkRoundTripAndSize(t *testing.T) {
-	done := make([]bool, ChunkPieces)
+	done := make([]bool, ChunkTasks)
 	var runs []Placed
 	for i := range done {
 		if i%3 == 0 {
 			done[i] = true
 			continue
 		}
-		p := Placed{Index: i, Try: 123456}
+		p := Placed{Index: i, Attempt: 123456}
 		if i%3 == 1 {
 			p.Host, p.Session = fmt.Sprintf("n-%09d", i), 98765
 		}
 		runs = append(runs, p)
 	}
 	rec := Pack("1234567.890123", done, runs)
-	gotDone, gotRuns, err := rec.Unpack(ChunkPieces)
+	gotDone, gotRuns, err := rec.Unpack(ChunkTasks)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/swarm_test.go
+++ b/swarm_test.go
@@ -264,7 +264,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.jobs[uid].prune()
-		return len(g.jobs[uid].pieces) - len(g.jobs[uid].waiting)
+		return len(g.jobs[uid].tasks) - len(g.jobs[uid].waiting)
 	}
 	s.pass(g, ws, 1)
 	first := placed("j-1")
--- a/trial.go
+++ b/trial.go
@@ -46,7 +46,7 @@
 
 // failed takes in that a task of j failed on m after running for a while. The
 // caller holds mu.
-func (g *term) failed(j *job, pc *piece, m *fleet.Machine, ran, now clock.Micros) {
+func (g *term) failed(j *job, pc *task, m *fleet.Machine, ran, now clock.Micros) {
 	t := &j.trial
 	pc.fails++
 	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(min(pc.fails, 25))
@@ -168,7 +168,7 @@
 		return
 	}
 	j.prune()
-	if t.bad || len(t.faults) < badOn || len(j.waiting) < len(j.pieces) {
+	if t.bad || len(t.faults) < badOn || len(j.waiting) < len(j.tasks) {
 		return
 	}
 	t.bad = true
@@ -190,8 +190,8 @@
 		return false
 	}
 	enough := max(lastsFor, 2*j.trial.ranFor+clock.Second)
-	for i := range j.pieces {
-		b := j.pieces[i].booking
+	for i := range j.tasks {
+		b := j.tasks[i].booking
 		if b != nil && b.Status == wire.PieceRunning && b.Running > 0 && !b.Ended && b.Machine.Beaten && b.Machine.LastBeat-b.Running > enough {
 			return true
 		}
@@ -255,7 +255,7 @@
 	if !t.doubtful() {
 		return j.waiting
 	}
-	out := len(j.pieces) - j.done - len(j.waiting)
+	out := len(j.tasks) - j.done - len(j.waiting)
 	if now < t.probeAt || out > 0 && now-t.last < probeGap {
 		return nil
 	}
@@ -263,7 +263,7 @@
 		return j.waiting
 	}
 	for _, i := range j.waiting {
-		if j.pieces[i].notBefore <= now {
+		if j.tasks[i].notBefore <= now {
 			return []int{i}
 		}
 	}
