--- a/api/api.go
+++ b/api/api.go
@@ -171,11 +171,11 @@
 }
 
 // crowded answers at once that more is submitted than can be taken. Those that
-// are refused are told to come back at times spread out, the lowest rank later,
+// are refused are told to come back at times spread out, the lowest priority later,
 // so that they are not all back together.
-func (u *Users) crowded(w http.ResponseWriter, rank string) {
+func (u *Users) crowded(w http.ResponseWriter, priority string) {
 	after := 1 + rand.IntN(2)
-	if r, _ := wire.RankOf(rank); r == wire.RankLow {
+	if r, _ := wire.RankOf(priority); r == wire.RankLow {
 		after = 2 + rand.IntN(8)
 	}
 	refuse(w, http.StatusTooManyRequests, after, "too many submissions: try again")
--- a/api/intake.go
+++ b/api/intake.go
@@ -15,7 +15,7 @@
 )
 
 // intake makes submissions durable. Those that come while a transaction is under
-// way share the next, by rank, so that thousands of small jobs don't cost a
+// way share the next, by priority, so that thousands of small jobs don't cost a
 // request each; and when more come than the state service takes changes, what
 // can't be taken is refused at once rather than kept waiting.
 type intake struct {
@@ -29,10 +29,10 @@
 
 // entry is a submission that waits for its transaction.
 type entry struct {
-	rec  store.JobRecord
-	rank wire.Rank
-	size int
-	done chan error
+	rec      store.JobRecord
+	priority wire.Rank
+	size     int
+	done     chan error
 }
 
 const (
@@ -41,7 +41,7 @@
 	maxBatch     = 16
 	maxBatchSize = 40 << 10
 	// patience is how long a submission may wait for its turn, and lowPatience the
-	// same for one of the lowest rank: the others go before it.
+	// same for one of the lowest priority: the others go before it.
 	patience    = 1500 * time.Millisecond
 	lowPatience = 100 * time.Millisecond
 	// busyTries is how often a change is tried while the service has too much to do.
@@ -51,9 +51,9 @@
 // accept makes a job durable. Its error is a *store.Conflict when the job is
 // known already, and store.ErrBusy when too many come.
 func (in *intake) accept(ctx context.Context, rec store.JobRecord) error {
-	rank, _ := wire.RankOf(rec.Spec.Rank)
+	priority, _ := wire.RankOf(rec.Spec.Rank)
 	wait := patience
-	if rank == wire.RankLow {
+	if priority == wire.RankLow {
 		wait = lowPatience
 	}
 	if err := in.st.Admit(ctx, 1, wait); err != nil {
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	e := &entry{rec: rec, rank: rank, size: 2 * len(raw), done: make(chan error, 1)}
+	e := &entry{rec: rec, priority: priority, size: 2 * len(raw), done: make(chan error, 1)}
 	in.mu.Lock()
 	in.queue = append(in.queue, e)
 	if !in.busy {
@@ -97,7 +97,7 @@
 // next takes the submissions of the next transaction out of the queue. The
 // caller holds mu.
 func (in *intake) next() (batch []*entry) {
-	slices.SortStableFunc(in.queue, func(a, b *entry) int { return cmp.Compare(b.rank, a.rank) })
+	slices.SortStableFunc(in.queue, func(a, b *entry) int { return cmp.Compare(b.priority, a.priority) })
 	rest, size := in.queue[:0:0], 0
 	taken := map[string]bool{}
 	for _, e := range in.queue {
--- a/engine.go
+++ b/engine.go
@@ -52,7 +52,7 @@
 type job struct {
 	uid       string
 	spec      wire.Spec
-	rank      wire.Rank
+	priority  wire.Rank
 	stamp     uint64
 	at        int64 // wall clock of its acceptance, in microseconds
 	seen      clock.Micros
@@ -95,7 +95,7 @@
 func (j *job) standing() bool { return j.spec.Shape == wire.ShapeStanding }
 
 // unhurried tells whether the job is work that runs when there is room.
-func (j *job) unhurried() bool { return j.rank == wire.RankLow && !j.standing() && !j.group() }
+func (j *job) unhurried() bool { return j.priority == wire.RankLow && !j.standing() && !j.group() }
 
 // group tells whether the job's tasks run only all together.
 func (j *job) group() bool { return j.spec.Shape == wire.ShapeGroup }
@@ -140,7 +140,7 @@
 	slabN    int
 	asked    map[string]clock.Micros     // machines rented by this term and not up yet, by when they were asked for
 	boots    []boot                      // how long machines took lately
-	paced    float64                     // tasks of the lowest rank that may be started
+	paced    float64                     // tasks of the lowest priority that may be started
 	pacedAt  clock.Micros                // when that was counted
 	untidy   map[*slab]bool              // hold rows of jobs that are over
 	careful  int                         // transactions that still hold one change only, since one was refused
@@ -178,7 +178,7 @@
 	rate      cloud.Load
 	rateAt    clock.Micros
 	seeded    cloud.Load // the predecessor's rate
-	lanes     map[string]runStat
+	classes   map[string]runStat
 	peaks     []peak
 	idleFrom  clock.Micros            // since when there has been no work at all
 	gone      map[string]clock.Micros // returned: whatever still speaks of them is old
@@ -207,7 +207,7 @@
 		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Token),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
 		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
-		lanes: map[string]runStat{}, gone: map[string]clock.Micros{},
+		classes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
 		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
 		calledOff: map[*job]clock.Micros{},
@@ -359,9 +359,9 @@
 	var dem store.DemandRecord
 	if demFound && wire.Unmarshal(demRow.Value, &dem) == nil {
 		g.seeded = cloud.Load{Cores: dem.Cores, RAM: dem.RAM, Accel: dem.Accel}
-		for lane, v := range dem.Lanes {
+		for class, v := range dem.Classes {
 			if v[0] > 0 && v[1] > 0 {
-				g.lanes[lane] = runStat{n: int(v[0]), sum: clock.Micros(v[1])}
+				g.classes[class] = runStat{n: int(v[0]), sum: clock.Micros(v[1])}
 			}
 		}
 	}
@@ -505,7 +505,7 @@
 func (g *term) booking(j *job, index int, attempt uint64) *fleet.Booking {
 	s := &j.spec
 	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
-		Bundle: s.Bundle, Rank: j.rank, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithBeat: j.unhurried()}
+		Bundle: s.Bundle, Priority: j.priority, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithBeat: j.unhurried()}
 }
 
 // addJob takes an accepted job in. The caller holds mu.
@@ -525,8 +525,8 @@
 		j.stamp = max(j.stamp, stamp)
 		return nil
 	}
-	rank, _ := wire.RankOf(s.Rank)
-	j := &job{uid: s.UID, spec: s, rank: rank, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
+	priority, _ := wire.RankOf(s.Rank)
+	j := &job{uid: s.UID, spec: s, priority: priority, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
 		tasks: make([]task, s.Pieces), waiting: make([]int, s.Pieces),
 		chunks: make([]chunk, (s.Pieces+store.ChunkTasks-1)/store.ChunkTasks)}
 	for i := range j.waiting {
@@ -566,7 +566,7 @@
 			within = o.WithinS
 		}
 	}
-	return &plan.Job{ImageGB: s.ImageGB, Within: clock.FromSeconds(within), UID: j.uid, Team: s.Owner, Rank: j.rank, Standing: j.standing(), Tasks: s.Pieces,
+	return &plan.Job{ImageGB: s.ImageGB, Within: clock.FromSeconds(within), UID: j.uid, Team: s.Owner, Priority: j.priority, Standing: j.standing(), Tasks: s.Pieces,
 		Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Builds: s.Builds, Zone: s.Yard, SamePlace: s.SamePlace,
 		Apart: s.Apart, Loaned: s.Loaned, Bundle: s.Bundle, Order: j.order, Group: j.group(), Slack: noSlack,
 		Zones: map[string]int{}, Machines: map[string]int{}}
@@ -643,7 +643,7 @@
 			j.started = true
 			j.running++
 			g.met.Start(now - j.seen)
-			g.log.Debug("task started", "task", b.Task.String(), "lane", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
+			g.log.Debug("task started", "task", b.Task.String(), "class", j.spec.Lane, "host", b.Machine.Name, "after", (now - j.seen).Seconds(),
 				"placed", (b.Since - j.seen).Seconds(), "fetch", (now - b.Since).Seconds())
 			continue
 		}
@@ -754,14 +754,14 @@
 	}
 	j.ran.n++
 	j.ran.sum += took
-	// The last few dozen count: lanes change over a day.
-	st := g.lanes[j.spec.Lane]
+	// The last few dozen count: classes change over a day.
+	st := g.classes[j.spec.Lane]
 	if st.n >= 100 {
 		st = runStat{n: 50, sum: 50 * st.mean()}
 	}
 	st.n++
 	st.sum += took
-	g.lanes[j.spec.Lane] = st
+	g.classes[j.spec.Lane] = st
 }
 
 // Beat takes in a worker's report and says what to answer. A report without
--- a/engine_test.go
+++ b/engine_test.go
@@ -942,7 +942,7 @@
 	g, _ := s.elect(n)
 	due := func(d float64) *float64 { return &d }
 	for _, tt := range []struct {
-		lane   string
+		class  string
 		due    *float64
 		expect float64
 		want   clock.Micros
@@ -954,10 +954,10 @@
 		{"other", due(310), 100, 210 * clock.Second},
 		{"other", nil, 100, noSlack},
 	} {
-		j := &job{rank: wire.RankStandard, spec: spec("j-1", func(sp *wire.Spec) { sp.Lane, sp.DueS, sp.ExpectS = tt.lane, tt.due, tt.expect })}
+		j := &job{priority: wire.RankStandard, spec: spec("j-1", func(sp *wire.Spec) { sp.Lane, sp.DueS, sp.ExpectS = tt.class, tt.due, tt.expect })}
 		g.planJob(j)
 		if got := j.slack(0); got != tt.want {
-			t.Errorf("%s due %v, expected to run %v s: slack %v, want %v", tt.lane, tt.due, tt.expect, got, tt.want)
+			t.Errorf("%s due %v, expected to run %v s: slack %v, want %v", tt.class, tt.due, tt.expect, got, tt.want)
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,20 +40,20 @@
 // Booking is one attempt of a task on a machine, from its reservation until
 // the worker has forgotten it.
 type Booking struct {
-	Task    TaskID
-	Attempt uint64
-	Machine *Machine
-	Session uint64
-	Cores   float64
-	Accel   float64
-	RAM     float64
-	Bundle  string
-	Rank    wire.Rank
-	Loaned  bool
-	Stow    float64
-	Saves   bool
-	Since   clock.Micros // reserved at
-	Tag     any          // the leader's own record of the task's job
+	Task     TaskID
+	Attempt  uint64
+	Machine  *Machine
+	Session  uint64
+	Cores    float64
+	Accel    float64
+	RAM      float64
+	Bundle   string
+	Priority wire.Rank
+	Loaned   bool
+	Stow     float64
+	Saves    bool
+	Since    clock.Micros // reserved at
+	Tag      any          // the leader's own record of the task's job
 
 	// WithBeat: the run goes only with answers to beats. Those die with the next
 	// beat, so that nothing need be fenced before results are forgotten, and a
--- a/picture.go
+++ b/picture.go
@@ -108,12 +108,12 @@
 		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.tasks)-j.done-len(j.waiting) <= plan.AgedTasks || j.tasks[b.Task.Index].booking != b {
 			return
 		}
-		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Task.Index}, Job: j.pj, Rank: j.rank,
+		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Task.Index}, Job: j.pj, Priority: j.priority,
 			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running})
 	})
 	slices.SortStableFunc(pm.Lower, func(a, b plan.Victim) int {
 		// Least progress first: not begun, then begun last.
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
 	})
 	g.pic.Put(pm)
 	return again
@@ -127,7 +127,7 @@
 }
 
 // agedAfter is how long a job may wait with no task begun before its first one
-// goes before work of higher rank.
+// goes before work of higher priority.
 const agedAfter = 75 * clock.Second
 
 // avoidsStruck tells whether jobs on trial keep away from machines on which
@@ -196,13 +196,13 @@
 	return p
 }
 
-// paceOfCore is how many tasks of the lowest rank a controller with a whole core
+// paceOfCore is how many tasks of the lowest priority a controller with a whole core
 // starts in a second, so that no huge batch of short tasks takes the processor
 // that beats and urgent work need. A task costs its start, its end and its part
 // in the reports of its machine.
 const paceOfCore = 1500
 
-// pace is how many tasks of the lowest rank may be started in a second.
+// pace is how many tasks of the lowest priority may be started in a second.
 func (g *term) pace() float64 {
 	return max(10, paceOfCore*min(1, g.cfg.Facts.Limits.CoreShare))
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -53,7 +53,7 @@
 // Victim is a task that could be stopped to make room.
 type Victim struct {
 	Task              TaskID
-	Rank              wire.Rank
+	Priority          wire.Rank
 	Cores, Accel, RAM float64
 	Since             clock.Micros // running since; zero when it has not begun
 	Job               *Job         // to tell whether its team is beyond its guarantee; may be nil
@@ -71,7 +71,7 @@
 // Job is what the tasks of a job have in common.
 type Job struct {
 	UID, Team         string
-	Rank              wire.Rank
+	Priority          wire.Rank
 	Standing          bool
 	Tasks             int
 	Cores, Accel, RAM float64
@@ -127,7 +127,7 @@
 	Seed       uint64
 	Preempt    bool
 	Now        clock.Micros
-	// Turns is how many aged jobs may go before work of higher rank that waits, too.
+	// Turns is how many aged jobs may go before work of higher priority that waits, too.
 	// Each takes one, and each task of such work that is placed gives one back.
 	Turns int
 	// AvoidStruck keeps jobs on trial off machines on which tasks have failed: what
@@ -196,11 +196,11 @@
 }
 
 // order is how launches go: lost replicas of the most important first, then
-// rank, guarantee, deadline slack and age.
+// priority, guarantee, deadline slack and age.
 func order(a, b *Waiting) bool {
 	ja, jb := a.Job, b.Job
-	if ja.Rank != jb.Rank {
-		return ja.Rank > jb.Rank
+	if ja.Priority != jb.Priority {
+		return ja.Priority > jb.Priority
 	}
 	if a.Lost != b.Lost {
 		return a.Lost
@@ -224,7 +224,7 @@
 const maxHolds = 8
 
 // AgedTasks is how many tasks of a job that has waited long go before others. One
-// is enough for the job to begin. With more, the jobs of low rank that have waited
+// is enough for the job to begin. With more, the jobs of low priority that have waited
 // long take all that comes free under a lasting overload, and urgent work waits
 // until it has waited long itself.
 const AgedTasks = 1
@@ -240,21 +240,21 @@
 	}
 	sort.SliceStable(list, func(i, j int) bool { return order(list[i], list[j]) })
 	// A job that has waited long without any task begun goes before those of
-	// higher rank with its first task, so that none waits for ever. Its next ones
+	// higher priority with its first task, so that none waits for ever. Its next ones
 	// do not, though the first may take seconds to begin. Where many such jobs meet
-	// higher rank, they take turns: an overload of jobs of one task each would else
+	// higher priority, they take turns: an overload of jobs of one task each would else
 	// have all that comes free. A job for which room is kept has taken its turn.
 	turns := pl.turns(list)
 	rest := list[:0:0]
 	var failed []*Job
 	for _, w := range list {
-		if j := w.Job; first(w) && (turns.left > 0 || j.Rank >= turns.rival || pl.holds(j)) {
+		if j := w.Job; first(w) && (turns.left > 0 || j.Priority >= turns.rival || pl.holds(j)) {
 			n, kept := min(AgedTasks, len(w.Indexes)), pl.holds(j)
 			done := pl.some(&Waiting{Job: j, Indexes: w.Indexes[:n], Lost: w.Lost}, &failed, false)
 			if done == 0 {
 				pl.hold(j)
 			}
-			if j.Rank < turns.rival && !kept && (done > 0 || pl.holds(j)) {
+			if j.Priority < turns.rival && !kept && (done > 0 || pl.holds(j)) {
 				turns.left--
 			}
 			if done < len(w.Indexes) {
@@ -280,7 +280,7 @@
 			continue
 		}
 		placed := pl.some(w, &failed, true)
-		if j.Rank > turns.lowest && !first(w) {
+		if j.Priority > turns.lowest && !first(w) {
 			turns.left += placed
 		}
 	}
@@ -289,17 +289,17 @@
 	}
 }
 
-// first tells whether a job's first task may go before work of higher rank.
+// first tells whether a job's first task may go before work of higher priority.
 func first(w *Waiting) bool {
 	j := w.Job
 	return j.Aged && !j.Group && !j.SamePlace && !j.anywhere()
 }
 
-// MostTurns is how many aged jobs may go at once before work of higher rank that
+// MostTurns is how many aged jobs may go at once before work of higher priority that
 // comes. More would let what is urgent wait for as many places to come free.
 const MostTurns = 2
 
-// turns is what aged jobs and work of higher rank that waits share a plan by.
+// turns is what aged jobs and work of higher priority that waits share a plan by.
 type turns struct {
 	left   int
 	rival  wire.Rank // the highest that waits and has not aged
@@ -311,9 +311,9 @@
 	aged, others := false, false
 	for _, w := range list {
 		if first(w) {
-			aged, t.lowest = true, min(t.lowest, w.Job.Rank)
+			aged, t.lowest = true, min(t.lowest, w.Job.Priority)
 		} else {
-			others, t.rival = true, max(t.rival, w.Job.Rank)
+			others, t.rival = true, max(t.rival, w.Job.Priority)
 		}
 	}
 	if !aged || !others || t.rival <= t.lowest {
@@ -337,7 +337,7 @@
 			block = nil
 		}
 		m := pl.target(j, "", nil)
-		if last && m != nil && pl.Preempt && !j.Probe && j.Rank >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
+		if last && m != nil && pl.Preempt && !j.Probe && j.Priority >= wire.RankHigh && m.Images[j.Bundle] != ImageHeld && !soonEnough(j, m) && pl.makeRoom(j, true) {
 			// Only cold machines have room: waiting for an image costs an urgent task
 			// more than a little lost work costs the one that makes way.
 			pl.out.Unplaced[j.UID]++
@@ -452,7 +452,7 @@
 // choices, has just failed to get.
 func dominated(j *Job, failed []*Job) bool {
 	for _, f := range failed {
-		if f.Rank >= j.Rank && j.Cores >= f.Cores && j.RAM >= f.RAM && j.Accel >= f.Accel &&
+		if f.Priority >= j.Priority && j.Cores >= f.Cores && j.RAM >= f.RAM && j.Accel >= f.Accel &&
 			f.Zone == "" && f.Builds == nil && (f.Loaned || !j.Loaned) && f.Team == j.Team {
 			return true
 		}
@@ -658,7 +658,7 @@
 	if x, y := a.Images[j.Bundle], b.Images[j.Bundle]; x != y {
 		return x > y
 	}
-	if a.Fetch != b.Fetch && j.Rank >= wire.RankHigh && a.Images[j.Bundle] == ImageAbsent {
+	if a.Fetch != b.Fetch && j.Priority >= wire.RankHigh && a.Images[j.Bundle] == ImageAbsent {
 		return a.Fetch > b.Fetch // where an urgent task has to wait for its image
 	}
 	if x, y := j.Zones[a.Zone], j.Zones[b.Zone]; j.Standing && x != y {
@@ -676,7 +676,7 @@
 	return a.Name < b.Name
 }
 
-// crowd ranks machines for one more replica: by how many are there already,
+// crowd sorts machines for one more replica: by how many are there already,
 // where to have no image counts like one and a half more.
 func crowd(j *Job, m *Machine) int {
 	n := 2 * j.Machines[m.Name]
@@ -805,7 +805,7 @@
 				break
 			}
 			v := &m.Lower[i]
-			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !(v.Rank < j.Rank || j.Entitled && pl.borrowed(v)) {
+			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !(v.Priority < j.Priority || j.Entitled && pl.borrowed(v)) {
 				continue
 			}
 			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -19,7 +19,7 @@
 }
 
 func newJob(uid string, pieces int, cores, ram float64) *Job {
-	return &Job{UID: uid, Team: "t", Rank: wire.RankStandard, Tasks: pieces, Cores: cores, RAM: ram, Loaned: true,
+	return &Job{UID: uid, Team: "t", Priority: wire.RankStandard, Tasks: pieces, Cores: cores, RAM: ram, Loaned: true,
 		Zones: map[string]int{}, Machines: map[string]int{}}
 }
 
@@ -69,7 +69,7 @@
 	if m := place(); m != "b" {
 		t.Errorf("ordinary work on %s, want worst fit", m)
 	}
-	j.Rank = wire.RankHigh
+	j.Priority = wire.RankHigh
 	if m := place(); m != "a" {
 		t.Errorf("urgent work on %s, want the faster fetch", m)
 	}
@@ -84,9 +84,9 @@
 		cold, warm := machine("cold", "x", 8, 32), machine("warm", "x", 0, 0)
 		cold.Fetch = tt.fetch
 		warm.Images["img"] = ImageHeld
-		warm.Lower = []Victim{{Task: TaskID{"j-9", 0}, Rank: wire.RankLow, Cores: 8, RAM: 16}}
+		warm.Lower = []Victim{{Task: TaskID{"j-9", 0}, Priority: wire.RankLow, Cores: 8, RAM: 16}}
 		j := newJob("j-1", 1, 4, 8)
-		j.Rank, j.Bundle, j.ImageGB, j.Within = wire.RankHigh, "img", 1, 5*clock.Second
+		j.Priority, j.Bundle, j.ImageGB, j.Within = wire.RankHigh, "img", 1, 5*clock.Second
 		res := Make(&Picture{Machines: []*Machine{cold, warm}, Preempt: true, Waiting: []Waiting{{Job: j, Indexes: indexes(1)}}})
 		if len(res.Preempt) != tt.want {
 			t.Errorf("at %v GB a second: preempted %v, want %d", tt.fetch, res.Preempt, tt.want)
@@ -97,7 +97,7 @@
 func TestLaunchOrder(t *testing.T) {
 	low, high, due := newJob("j-1", 1, 8, 1), newJob("j-2", 1, 8, 1), newJob("j-3", 1, 8, 1)
 	low.Slack, high.Slack, due.Slack = 100, 100, 5
-	high.Rank, due.Rank = wire.RankHigh, wire.RankHigh
+	high.Priority, due.Priority = wire.RankHigh, wire.RankHigh
 	p := &Picture{Machines: []*Machine{machine("a", "x", 16, 30)}}
 	for _, j := range []*Job{low, high, due} {
 		p.Waiting = append(p.Waiting, Waiting{Job: j, Indexes: indexes(1)})
@@ -229,20 +229,20 @@
 
 func TestPreemption(t *testing.T) {
 	m := machine("a", "x", 0, 10)
-	m.Lower = []Victim{{Task: TaskID{"j-1", 0}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Since: 97},
-		{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8, Since: 91}}
+	m.Lower = []Victim{{Task: TaskID{"j-1", 0}, Priority: wire.RankStandard, Cores: 8, RAM: 8, Since: 97},
+		{Task: TaskID{"j-1", 1}, Priority: wire.RankStandard, Cores: 8, RAM: 8, Since: 91}}
 	urgent, equal := newJob("j-2", 2, 4, 4), newJob("j-3", 1, 4, 4)
-	urgent.Rank = wire.RankHigh
+	urgent.Priority = wire.RankHigh
 	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{
 		{Job: urgent, Indexes: indexes(2)}, {Job: equal, Indexes: indexes(1)}}})
 	want := []TaskID{{"j-1", 0}}
 	if diff := gocmp.Diff(want, res.Preempt); diff != "" {
-		t.Error("one victim makes room for both, an equal rank stops nothing: ", diff)
+		t.Error("one victim makes room for both, an equal priority stops nothing: ", diff)
 	}
 	// Room already on its way is waited for, not made again.
 	m = machine("a", "x", 0, 10)
 	m.StopCores, m.StopRAM = 8, 8
-	m.Lower = []Victim{{Task: TaskID{"j-1", 1}, Rank: wire.RankStandard, Cores: 8, RAM: 8}}
+	m.Lower = []Victim{{Task: TaskID{"j-1", 1}, Priority: wire.RankStandard, Cores: 8, RAM: 8}}
 	res = Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{{Job: urgent, Indexes: indexes(2)}}})
 	if len(res.Preempt) != 0 {
 		t.Errorf("preempted %v again", res.Preempt)
@@ -250,7 +250,7 @@
 }
 
 // What a team without a guarantee runs gives way to a team within its own,
-// whatever the ranks; a team is not stopped below its guarantee.
+// whatever the priorities; a team is not stopped below its guarantee.
 func TestBorrowedRoomReturns(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
@@ -265,9 +265,9 @@
 	} {
 		m := machine("a", "x", 0, 10)
 		guest := newJob("j-1", 2, 8, 8)
-		guest.Team, guest.Rank = "guest", wire.RankHigh
+		guest.Team, guest.Priority = "guest", wire.RankHigh
 		for i := range 2 {
-			m.Lower = append(m.Lower, Victim{Task: TaskID{"j-1", i}, Job: guest, Rank: guest.Rank, Cores: 8, RAM: 8, Since: 50})
+			m.Lower = append(m.Lower, Victim{Task: TaskID{"j-1", i}, Job: guest, Priority: guest.Priority, Cores: 8, RAM: 8, Since: 50})
 		}
 		own := newJob("j-2", 2, 8, 8)
 		own.Entitled = tt.entitled
@@ -323,7 +323,7 @@
 		used := map[string]float64{}
 		for i := range 2 + r.IntN(6) {
 			j := newJob(fmt.Sprintf("j-%d", i), 1+r.IntN(6), float64(1+r.IntN(4)), float64(1+r.IntN(8)))
-			j.Rank, j.Apart, j.SamePlace, j.Loaned = wire.Rank(r.IntN(4)), r.IntN(2) == 0, r.IntN(4) == 0, r.IntN(2) == 0
+			j.Priority, j.Apart, j.SamePlace, j.Loaned = wire.Rank(r.IntN(4)), r.IntN(2) == 0, r.IntN(4) == 0, r.IntN(2) == 0
 			j.Standing = r.IntN(2) == 0
 			if r.IntN(2) == 0 {
 				j.Team = "u"
@@ -484,12 +484,12 @@
 	}
 }
 
-// A job that has waited long goes before higher ranks with its first task only,
+// A job that has waited long goes before higher priorities with its first task only,
 // though plan after plan is made before that one is seen to begin.
 func TestOnlyTheFirstTaskOfAnAgedJobGoesFirst(t *testing.T) {
 	p := &Picture{Turns: MostTurns}
 	old, urgent := newJob("j-1", 10, 1, 1), newJob("j-2", 10, 1, 1)
-	old.Rank, old.Aged, urgent.Rank = wire.RankLow, true, wire.RankHigh
+	old.Priority, old.Aged, urgent.Priority = wire.RankLow, true, wire.RankHigh
 	placed := map[string]int{}
 	for n := range 10 { // one machine comes free after the other
 		p.Put(machine(fmt.Sprintf("m%d", n), "x", 1, 1))
@@ -520,14 +520,14 @@
 	waiting := map[string]Waiting{}
 	for n := range 60 {
 		j := newJob(fmt.Sprintf("j-%d", n), 1, 1, 1)
-		j.Rank, j.Aged, j.Order = wire.RankLow, true, int64(n)
+		j.Priority, j.Aged, j.Order = wire.RankLow, true, int64(n)
 		waiting[j.UID] = Waiting{Job: j, Indexes: indexes(1)}
 	}
 	waiting["j-9"].Job.Cores = 3 // more than a machine has at first
 	urgent := newJob("j-100", 40, 1, 1)
-	urgent.Rank = wire.RankHigh
+	urgent.Priority = wire.RankHigh
 	large := newJob("j-101", 1, 64, 1) // there is no room for it anywhere
-	large.Rank = wire.RankCritical
+	large.Priority = wire.RankCritical
 	held := ""
 	placed := map[string]int{}
 	for n := range 40 {
@@ -573,11 +573,11 @@
 	p := &Picture{Team: map[string]*Quota{"t": {CoresMax: 100}}, Preempt: true, MoveCap: 3}
 	a, b := machine("a", "x", 4, 8), machine("b", "y", 8, 32)
 	a.Banned = "sick"
-	b.Lower = []Victim{{Task: TaskID{"j-9", 0}, Rank: wire.RankLow, Cores: 2, RAM: 2}}
+	b.Lower = []Victim{{Task: TaskID{"j-9", 0}, Priority: wire.RankLow, Cores: 2, RAM: 2}}
 	p.Put(a)
 	p.Put(b)
 	j, k := newJob("j-1", 3, 3, 4), newJob("j-2", 1, 1, 1)
-	k.Rank = wire.RankHigh
+	k.Priority = wire.RankHigh
 	k.Zones["x"], k.Machines["a"] = 1, 1
 	snap := func() string {
 		return fmt.Sprint(a.Cores, a.RAM, b.Cores, b.RAM, b.StopCores, b.Lower, *p.Team["t"], j.Zones, j.Machines, k.Zones, k.Machines, len(p.index.open[ordinary][level(b.RAM)].width[width(b.Cores)]))
@@ -619,7 +619,7 @@
 		a := machine("a", "x", 8, 32)
 		a.Struck = true
 		bad, good := newJob("j-1", 1, 3, 8), newJob("j-2", 2, 3, 8)
-		bad.Rank, good.Rank = wire.RankHigh, wire.RankLow
+		bad.Priority, good.Priority = wire.RankHigh, wire.RankLow
 		good.Started, good.Left = true, 2
 		mod(bad)
 		for _, same := range []bool{false, true} {
--- a/record.go
+++ b/record.go
@@ -97,7 +97,7 @@
 // is none to spare.
 const atLeast = 4
 
-// urgency orders what is to be recorded: placements and ends by rank, then what
+// urgency orders what is to be recorded: placements and ends by priority, then what
 // is left of jobs that are over.
 func (g *term) urgency(uid string) int {
 	j := g.jobs[uid]
@@ -107,7 +107,7 @@
 	case j.standing():
 		return int(wire.RankCritical)
 	}
-	return int(j.rank)
+	return int(j.priority)
 }
 
 // collect builds the next transaction from what has changed; nil when nothing
--- a/rules_test.go
+++ b/rules_test.go
@@ -448,7 +448,7 @@
 	}
 }
 
-// A job that waits long begins although work of higher rank keeps coming: its
+// A job that waits long begins although work of higher priority keeps coming: its
 // first task goes first, and room is kept for it.
 func TestLargeJobBeginsUnderLastingOverload(t *testing.T) {
 	s, n, g, w := alone(t) // 8 cores
--- a/size_test.go
+++ b/size_test.go
@@ -86,7 +86,7 @@
 }
 
 // Hundreds of machines lost at once: what is lost is found by looking at it
-// alone; its records go by rank, each within a transaction's limits, and its
+// alone; its records go by priority, each within a transaction's limits, and its
 // machines are asked for in whole batches.
 func TestMassLoss(t *testing.T) {
 	const tasks = 4
@@ -117,10 +117,10 @@
 				t.Fatalf("%d changes in a transaction", n)
 			}
 			for _, c := range w.chunks {
-				if c.j.rank > last {
-					t.Errorf("%s is recorded after work of lower rank", c.j.uid)
+				if c.j.priority > last {
+					t.Errorf("%s is recorded after work of lower priority", c.j.uid)
 				}
-				last = c.j.rank
+				last = c.j.priority
 				c.c.saved = c.seq
 			}
 		}
--- a/sizing.go
+++ b/sizing.go
@@ -184,22 +184,22 @@
 	return nil
 }
 
-// laneRun is how long tasks of a lane have run, which owners' estimates miss by half or more.
-func (g *term) laneRun(j *job) clock.Micros {
-	if st := g.lanes[j.spec.Lane]; st.n >= 8 {
+// classRun is how long tasks of a class have run, which owners' estimates miss by half or more.
+func (g *term) classRun(j *job) clock.Micros {
+	if st := g.classes[j.spec.Lane]; st.n >= 8 {
 		return st.mean()
 	}
 	return clock.FromSeconds(max(1, j.spec.ExpectS))
 }
 
-// drains says how fast a job's lane should be worked off: in how many seconds
+// drains says how fast a job's class should be worked off: in how many seconds
 // with spot machines, and in how many at the price of ordinary ones. Where the
-// platform states by when the lane's jobs should be done, what is left of that
+// platform states by when the class's jobs should be done, what is left of that
 // after a boot is the measure.
 func (g *term) drains(j *job, run float64) (drain, patient float64) {
 	f := &g.op.Fleet
 	drain = f.QueueS
-	if j.rank >= wire.RankHigh {
+	if j.priority >= wire.RankHigh {
 		drain = f.UrgentS
 	}
 	patient = drain * f.Patience
@@ -222,7 +222,7 @@
 	return drain, patient
 }
 
-// idleDrains is drains for work of the lowest rank, which fills what others leave:
+// idleDrains is drains for work of the lowest priority, which fills what others leave:
 // machines are rented for it at the pace that its class's aims call for, the more
 // the less time is left, and only spot ones (patient is zero) where there are none.
 func (g *term) idleDrains(j *job, run float64, wall clock.Micros) (drain, patient float64) {
@@ -281,7 +281,7 @@
 			add(&lasting, float64(running+waiting))
 			continue
 		}
-		run := g.laneRun(j).Seconds()
+		run := g.classRun(j).Seconds()
 		if j.unhurried() {
 			// What runs when there is room says nothing of what will come.
 			j.counted = true
@@ -449,7 +449,7 @@
 		if w.Zone != "" || w.Builds != nil {
 			at := float64(left)
 			if !j.standing() && s.Loaned {
-				run := g.laneRun(j).Seconds()
+				run := g.classRun(j).Seconds()
 				drain, _ := g.drains(j, run)
 				at = min(at, at*run/drain)
 			}
@@ -603,10 +603,10 @@
 	g.mu.Lock()
 	now := g.ck.Now()
 	due := now-g.rateAt > 10*clock.Second && g.rate.Cores > 0
-	rec := store.DemandRecord{Cores: g.rate.Cores, RAM: g.rate.RAM, Accel: g.rate.Accel, Lanes: map[string][2]int64{}}
-	for lane, st := range g.lanes {
-		if len(rec.Lanes) < 50 {
-			rec.Lanes[lane] = [2]int64{int64(st.n), int64(st.sum)}
+	rec := store.DemandRecord{Cores: g.rate.Cores, RAM: g.rate.RAM, Accel: g.rate.Accel, Classes: map[string][2]int64{}}
+	for class, st := range g.classes {
+		if len(rec.Classes) < 50 {
+			rec.Classes[class] = [2]int64{int64(st.n), int64(st.sum)}
 		}
 	}
 	if due {
--- a/store/records.go
+++ b/store/records.go
@@ -86,12 +86,12 @@
 const SlabJobs = 60
 
 // DemandRecord is the rate of arriving work as the leader last saw it, and
-// each lane's run times as a count and a sum in microseconds.
+// each class's run times as a count and a sum in microseconds.
 type DemandRecord struct {
-	Cores float64             `msgpack:"c"`
-	RAM   float64             `msgpack:"r"`
-	Accel float64             `msgpack:"a"`
-	Lanes map[string][2]int64 `msgpack:"l"`
+	Cores   float64             `msgpack:"c"`
+	RAM     float64             `msgpack:"r"`
+	Accel   float64             `msgpack:"a"`
+	Classes map[string][2]int64 `msgpack:"l"`
 }
 
 // OverRecord is a job's final state, with what its tasks take: some may still
--- a/swarm_test.go
+++ b/swarm_test.go
@@ -131,7 +131,7 @@
 }
 
 // More submissions than the state service takes: what can't be taken is refused
-// at once and told when to come back, the lowest rank first; what is known
+// at once and told when to come back, the lowest priority first; what is known
 // already stays known, and cancels go through.
 func TestSwarmIsRefusedAtOnce(t *testing.T) {
 	s := newSite(t)
@@ -245,8 +245,8 @@
 	}
 }
 
-// The lowest rank's starts follow the controller's share of a processor, however
-// much room there is; work of higher rank does not wait for them.
+// The lowest priority's starts follow the controller's share of a processor, however
+// much room there is; work of higher priority does not wait for them.
 func TestLowWorkIsPaced(t *testing.T) {
 	s := newSite(t)
 	n := s.node(func(f *config.Facts) { f.Limits.CoreShare = 0.1 })
@@ -270,10 +270,10 @@
 	first := placed("j-1")
 	s.pass(g, ws, 4)
 	if got := placed("j-1") - first; got < 450 || got > 750 {
-		t.Errorf("%d tasks of the lowest rank began in 4 s, want 150 a second", got)
+		t.Errorf("%d tasks of the lowest priority began in 4 s, want 150 a second", got)
 	}
 	if got := placed("j-2"); got != 300 {
-		t.Errorf("%d of 300 tasks of higher rank began", got)
+		t.Errorf("%d of 300 tasks of higher priority began", got)
 	}
 }
 
