--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,4 +1,4 @@
-// Package agent speaks with the workers: it serves their beats and sends them
+// Package agent speaks with the workers: it serves their heartbeats and sends them
 // direct commands.
 package agent
 
@@ -71,10 +71,10 @@
 	return &b, nil
 }
 
-// Steward is the leader's side of the beats.
+// Steward is the leader's side of the heartbeats.
 type Steward interface {
-	// Beat takes a report in; ok is false when this node may not answer it.
-	Beat(rep *wire.Beat) (ans wire.BeatAnswer, ok bool)
+	// Heartbeat takes a report in; ok is false when this node may not answer it.
+	Heartbeat(rep *wire.Beat) (ans wire.BeatAnswer, ok bool)
 	// Leader names who may, empty when unknown or this node.
 	Leader() string
 }
@@ -83,10 +83,10 @@
 // and those that are not in use go with the next collection but one.
 var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// ServeBeat handles POST of a worker's report. While short tells that
+// ServeHeartbeat handles POST of a worker's report. While short tells that
 // connections run short, the answer asks the worker to close its own: the next
-// beat is seconds away and may come on a new one.
-func ServeBeat(s Steward, short func() bool) http.HandlerFunc {
+// heartbeat is seconds away and may come on a new one.
+func ServeHeartbeat(s Steward, short func() bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if short() {
 			w.Header().Set("Connection", "close")
@@ -104,7 +104,7 @@
 			Write(w, http.StatusBadRequest, wire.Error{Error: err.Error()})
 			return
 		}
-		if ans, ok := s.Beat(&rep); ok {
+		if ans, ok := s.Heartbeat(&rep); ok {
 			Write(w, http.StatusOK, ans)
 			return
 		}
--- a/bench_test.go
+++ b/bench_test.go
@@ -42,7 +42,7 @@
 	for tally, token := range []uint64{0, g.r.Token, g.r.Token} {
 		for i := range machines {
 			rep := report(i, tasks, uint64(tally)+1, token)
-			if _, ok := g.Beat(rep); !ok {
+			if _, ok := g.Heartbeat(rep); !ok {
 				tb.Fatal("beat not answered")
 			}
 		}
@@ -61,8 +61,8 @@
 
 type benchSteward struct{ g *term }
 
-func (s benchSteward) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) { return s.g.Beat(rep) }
-func (s benchSteward) Leader() string                              { return "" }
+func (s benchSteward) Heartbeat(rep *wire.Beat) (wire.BeatAnswer, bool) { return s.g.Heartbeat(rep) }
+func (s benchSteward) Leader() string                                   { return "" }
 
 // front serves users and workers on loopback as the daemon does.
 func front(tb testing.TB, g *term, h http.Handler) string {
@@ -127,7 +127,7 @@
 	}{{"unchanged", false}, {"changed", true}} {
 		b.Run(c.name, func(b *testing.B) {
 			_, g := ledFleet(b, benchMachines, benchTasks)
-			h := agent.ServeBeat(benchSteward{g}, func() bool { return false })
+			h := agent.ServeHeartbeat(benchSteward{g}, func() bool { return false })
 			var raws [][]byte
 			for n := range 2 {
 				for i := range benchMachines {
@@ -170,7 +170,7 @@
 func BenchmarkBeatServed(b *testing.B) {
 	_, g := ledFleet(b, benchMachines, benchTasks)
 	n := g.service(b)
-	n.front.Post(wire.PathBeat, agent.ServeBeat(benchSteward{g}, func() bool { return false }))
+	n.front.Post(wire.PathBeat, agent.ServeHeartbeat(benchSteward{g}, func() bool { return false }))
 	addr := front(b, g, n.front)
 	raws, conns := make([][]byte, benchMachines), make([]*exchange, benchMachines)
 	for i := range raws {
@@ -186,10 +186,10 @@
 	}
 }
 
-// BenchmarkRedirectServed is a beat at a controller that does not lead.
+// BenchmarkRedirectServed is a heartbeat at a controller that does not lead.
 func BenchmarkRedirectServed(b *testing.B) {
 	_, g := ledFleet(b, 10, benchTasks)
-	h := http.HandlerFunc(agent.ServeBeat(sends{}, func() bool { return false }))
+	h := http.HandlerFunc(agent.ServeHeartbeat(sends{}, func() bool { return false }))
 	addr := front(b, g, h)
 	x := dial(b, addr)
 	raw := body(b, report(1, benchTasks, 1, g.r.Token))
@@ -202,8 +202,8 @@
 
 type sends struct{}
 
-func (sends) Beat(*wire.Beat) (wire.BeatAnswer, bool) { return wire.BeatAnswer{}, false }
-func (sends) Leader() string                          { return "node-2" }
+func (sends) Heartbeat(*wire.Beat) (wire.BeatAnswer, bool) { return wire.BeatAnswer{}, false }
+func (sends) Leader() string                               { return "node-2" }
 
 // service gives a second node of the leader's site that serves users.
 func (g *term) service(tb testing.TB) *Service {
@@ -327,10 +327,10 @@
 	n := s.node(nil)
 	g, _ := s.elect(n)
 	tallies := make([]uint64, benchMachines)
-	beat := func(i int, rep *wire.Beat) wire.BeatAnswer {
+	heartbeat := func(i int, rep *wire.Beat) wire.BeatAnswer {
 		tallies[i]++
 		rep.Tally = tallies[i]
-		ans, ok := g.Beat(rep)
+		ans, ok := g.Heartbeat(rep)
 		if !ok {
 			b.Fatal("not answered")
 		}
@@ -338,7 +338,7 @@
 	}
 	for range 3 {
 		for i := range benchMachines {
-			beat(i, report(i, 0, 0, g.r.Token))
+			heartbeat(i, report(i, 0, 0, g.r.Token))
 		}
 	}
 	single(b)
@@ -382,7 +382,7 @@
 			for i, list := range on {
 				rep := report(i, 0, 0, g.r.Token)
 				rep.Pieces = list
-				beat(i, rep)
+				heartbeat(i, rep)
 			}
 			if round == 2 {
 				g.mu.Lock()
@@ -392,7 +392,7 @@
 				g.mu.Unlock()
 				g.step(b.Context())
 				for i := range on {
-					beat(i, report(i, 0, 0, g.r.Token))
+					heartbeat(i, report(i, 0, 0, g.r.Token))
 				}
 			}
 			k += 16
--- a/boots.go
+++ b/boots.go
@@ -80,7 +80,7 @@
 	}
 	var late []waiting
 	g.fl.All(func(m *fleet.Machine) {
-		if m.Beaten || m.Listed != wire.HostBooting || m.Returning || m.AnsweredAt > 0 {
+		if m.Reported || m.Listed != wire.HostBooting || m.Returning || m.AnsweredAt > 0 {
 			return
 		}
 		from, rented := g.asked[m.Name]
--- a/boots_test.go
+++ b/boots_test.go
@@ -34,7 +34,7 @@
 func (g *term) upFrom(from, n int) {
 	for i := from; i < from+n; i++ {
 		m := g.fl.Machine(fmt.Sprintf("n-%02d", i))
-		m.Beaten, m.LastBeat = true, g.ck.Now()
+		m.Reported, m.LastHeartbeat = true, g.ck.Now()
 		g.cameUp(m, g.ck.Now())
 	}
 }
@@ -99,7 +99,7 @@
 	}
 	for _, h := range hosts {
 		w := s.worker(h.UID, h.Yard, h.Loaned)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 	}
 	for range 5 {
 		s.advance(time.Second)
--- a/config/config.go
+++ b/config/config.go
@@ -130,7 +130,7 @@
 )
 
 // lastWord is how long a task may go on after its leader last knew everything:
-// the leader answers until its hold ends, and leases run from the last answer.
+// the leader answers until its lease ends, and leases run from the last answer.
 func (p *Platform) lastWord(o *Operator) float64 {
 	return (o.Lead.TTLs + p.Facts.Workers.LeaseS) * (1 + clock.Drift)
 }
--- a/engine.go
+++ b/engine.go
@@ -147,7 +147,7 @@
 	filings  []*filing                   // done, and still to move to their final place
 	pic      *plan.Picture               // kept up to date from what was touched
 	touched  map[*fleet.Machine]bool     // machines that the picture is behind on
-	toTell   map[*fleet.Machine]bool     // machines with orders that should not wait for a beat
+	toTell   map[*fleet.Machine]bool     // machines with orders that should not wait for a heartbeat
 	strikes  map[*fleet.Machine]*strikes // failures since anything was done there, by job
 	unheard  map[*fleet.Machine]bool     // recorded by a predecessor, and silent since
 	holds    map[string]string           // machines whose room is kept for a job
@@ -186,13 +186,13 @@
 	pending   map[string]*hire
 	hireSeq   int
 	refused   map[string]clock.Micros
-	heard     clock.Micros // the last beat of any worker
+	heard     clock.Micros // the last heartbeat of any worker
 	// What is known of the changes of jobs; see knowledge.go.
 	known     uint64                // the epoch up to which all are, as of a time when nobody else could lead
 	caught    uint64                // the spell that they were last read after
 	stood     uint64                // times at which this process had stood still
 	readAt    clock.Micros          // when the last read of changes that was answered began
-	heldFrom  clock.Micros          // since when the hold has stood
+	heldFrom  clock.Micros          // since when the lease has stood
 	calledOff map[*job]clock.Micros // said to be cancelled, and when that was heard
 	unwatch   context.CancelFunc    // ends the watch that waits, nil when none does
 	blocked   clock.Micros          // when a lack of room was last logged
@@ -505,7 +505,7 @@
 func (g *term) booking(j *job, index int, attempt uint64) *fleet.Booking {
 	s := &j.spec
 	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
-		Bundle: s.Bundle, Priority: j.priority, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithBeat: j.unhurried()}
+		Bundle: s.Bundle, Priority: j.priority, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithHeartbeat: j.unhurried()}
 }
 
 // addJob takes an accepted job in. The caller holds mu.
@@ -764,9 +764,9 @@
 	g.classes[j.spec.Lane] = st
 }
 
-// Beat takes in a worker's report and says what to answer. A report without
+// Heartbeat takes in a worker's report and says what to answer. A report without
 // news costs a look-up and the comparison of its task list with the last one.
-func (g *term) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) {
+func (g *term) Heartbeat(rep *wire.Beat) (wire.BeatAnswer, bool) {
 	now := g.ck.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -792,10 +792,10 @@
 	}
 	if m.Suspect {
 		g.ask(m)
-	} else if !m.Beaten {
+	} else if !m.Reported {
 		g.proofs = append(g.proofs, proof{m, now})
 	}
-	if m.Beaten {
+	if m.Reported {
 		delete(g.unheard, m)
 		g.cameUp(m, now)
 	}
--- a/engine_test.go
+++ b/engine_test.go
@@ -113,7 +113,7 @@
 	return g, stop
 }
 
-// advance moves the clock in steps, letting the leader renew its hold at each.
+// advance moves the clock in steps, letting the leader renew its lease at each.
 func (s *site) advance(d time.Duration) {
 	s.t.Helper()
 	for ; d > 0; d -= time.Second {
@@ -166,7 +166,7 @@
 	n := s.node(nil)
 	g, _ := s.elect(n)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	return s, n, g, w
 }
 
@@ -209,20 +209,20 @@
 	}
 }
 
-// beat lets a worker report to the leader and execute the answer; and once more
+// heartbeat lets a worker report to the leader and execute the answer; and once more
 // when the leader has yet to see that the worker knows its token.
-func beat(t testing.TB, g *term, w *standin.Worker) {
+func heartbeat(t testing.TB, g *term, w *standin.Worker) {
 	t.Helper()
 	for range 2 {
 		rep := w.Report()
-		ans, ok := g.Beat(&rep)
+		ans, ok := g.Heartbeat(&rep)
 		if !ok {
 			t.Fatalf("beat of %s not answered", rep.Host)
 		}
 		w.Take(ans)
 		g.mu.Lock()
 		m := g.fl.Machine(rep.Host)
-		trusted := m == nil || m.Beaten
+		trusted := m == nil || m.Reported
 		g.mu.Unlock()
 		if trusted {
 			return
@@ -267,13 +267,13 @@
 		t.Fatalf("on the machine: %v", got)
 	}
 	w.End("j-1/0", wire.CauseDone)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status == wire.JobDone {
 		t.Fatal("done before all its tasks are")
 	}
 	w.End("j-1/1", wire.CauseDone)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	// Done is told only when it is durable: until the pass records it, it is not.
 	if _, v, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status == wire.JobDone {
 		t.Fatal("done before it was recorded")
@@ -283,16 +283,16 @@
 		t.Fatalf("state %+v, want done", v)
 	}
 	// The run may come again until the worker has shown a higher token.
-	beat(t, g, w)
-	beat(t, g, w)
+	heartbeat(t, g, w)
+	heartbeat(t, g, w)
 	w.Repeat()
 	for range 4 {
 		s.advance(10 * time.Second)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 	}
 	s.settle(g)
 	for range 3 { // learns the token, shows it, forgets
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		w.Repeat()
 	}
 	if rep := w.Report(); len(rep.Pieces) != 0 {
@@ -312,8 +312,8 @@
 	s.resync(g)
 	s.settle(g)
 	w.End("j-1/0", wire.CauseDone)
-	beat(t, g, w)
-	beat(t, g, w)
+	heartbeat(t, g, w)
+	heartbeat(t, g, w)
 	if rep := w.Report(); len(rep.Pieces) != 2 {
 		t.Fatalf("result forgotten before it was recorded: %v", rep.Pieces)
 	}
@@ -328,7 +328,7 @@
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
 	s.settle(g) // the run is kept back; the token is raised against it
-	beat(t, g, other)
+	heartbeat(t, g, other)
 	g.mu.Lock()
 	b := g.jobs["j-1"].tasks[0].booking
 	g.halt(g.jobs["j-1"], b, g.ck.Now())
@@ -343,7 +343,7 @@
 	}
 	// The worker reports without having seen the raised token: no proof yet.
 	rep := w.Report()
-	ans, _ := g.Beat(&rep)
+	ans, _ := g.Heartbeat(&rep)
 	s.settle(g)
 	if len(other.Starts()) != 0 {
 		t.Fatal("absence believed before the worker saw a higher token")
@@ -351,9 +351,9 @@
 	w.Take(ans)
 	s.advance(5 * time.Second)
 	s.settle(g)
-	beat(t, g, w)
-	beat(t, g, w)
-	beat(t, g, other)
+	heartbeat(t, g, w)
+	heartbeat(t, g, w)
+	heartbeat(t, g, other)
 	s.settle(g)
 	w.Deliver()
 	if got := len(w.Starts()) + len(other.Starts()); got != 1 {
@@ -372,13 +372,13 @@
 	s.resync(g)
 	s.settle(g)
 	rep := w.Report()
-	ans, _ := g.Beat(&rep) // carries the run again
+	ans, _ := g.Heartbeat(&rep) // carries the run again
 	low := ans
 	low.Warrant = 1
 	w.Take(low) // as if answered before the token was raised
 	w.End("j-1/0", wire.CauseDone)
 	rep = w.Report()
-	ans, _ = g.Beat(&rep)
+	ans, _ = g.Heartbeat(&rep)
 	s.settle(g)
 	for _, o := range ans.Orders {
 		if o.Verb == wire.VerbForget {
@@ -389,10 +389,10 @@
 	if got := w.Starts(); len(got) != 1 {
 		t.Fatalf("started %v", got)
 	}
-	beat(t, g, w)
-	beat(t, g, w)
+	heartbeat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	w.Deliver()
 	if got := w.Starts(); len(got) != 1 {
 		t.Fatalf("started %v", got)
@@ -409,7 +409,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", nil))
 	s.resync(ga)
 	s.settle(ga)
@@ -419,25 +419,25 @@
 		t.Fatalf("token %d after %d", gb.r.Token, ga.r.Token)
 	}
 	// The old leader's pass writes nothing any more.
-	if rep := w.Report(); func() bool { _, ok := ga.Beat(&rep); return ok }() {
-		t.Error("the old leader still answers beats")
+	if rep := w.Report(); func() bool { _, ok := ga.Heartbeat(&rep); return ok }() {
+		t.Error("the old leader still answers heartbeats")
 	}
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	s.advance(17 * time.Second)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if len(other.Starts()) != 0 {
 		t.Fatal("moved before the predecessor's lease ran out")
 	}
 	w.Expire()
 	s.advance(6 * time.Second)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if got := other.Starts(); len(got) != 1 {
 		t.Fatalf("starts after the lease: %v", got)
 	}
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	if len(w.Live()) != 0 {
 		t.Fatal("on two machines")
 	}
@@ -449,7 +449,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", nil))
 	s.resync(ga)
 	ga.mu.Lock()
@@ -464,7 +464,7 @@
 	if _, err := a.st.Commit(t.Context(), store.Urgent, wr.txn); err == nil {
 		t.Fatal("a deposed leader's transaction was applied")
 	}
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	s.settle(gb)
 	if got := w.Starts(); len(got) != 1 {
 		t.Fatalf("starts: %v", got)
@@ -501,14 +501,14 @@
 	a, b := s.node(nil), s.node(nil)
 	g, _ := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(b, spec("j-1", nil))
 	s.resync(g)
 	if code, v, _ := s.ask(b, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != 200 || v.Status != wire.JobCancelled {
 		t.Fatalf("abort: %d %+v", code, v)
 	}
 	s.settle(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if got := w.Starts(); len(got) != 0 {
 		t.Fatalf("started after the cancel: %v", got)
@@ -543,7 +543,7 @@
 	a, b := s.node(limit), s.node(limit)
 	ga, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 4 }))
 	s.resync(ga)
 	s.settle(ga)
@@ -552,7 +552,7 @@
 	}
 	stop()
 	gb, _ := s.elect(b)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if got := other.Starts(); len(got) != 0 {
 		t.Fatalf("beyond the limit after a change of leaders: %v", got)
@@ -565,7 +565,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w := s.worker("n-1", "x", false)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", func(sp *wire.Spec) {
 		sp.Shape, sp.Rank, sp.Loaned, sp.Apart, sp.Pieces = wire.ShapeStanding, "critical", false, true, 2
 	}))
@@ -577,7 +577,7 @@
 	stop()
 	gb, _ := s.elect(b)
 	other := s.worker("n-2", "x", false)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if got := other.Starts(); len(got) != 0 {
 		t.Fatalf("second replica in the zone: %v", got)
@@ -590,8 +590,8 @@
 	s.state.Refuse(n.cfg.Node, true)
 	s.clk.Advance(6 * time.Second)
 	rep := w.Report()
-	if _, ok := g.Beat(&rep); ok {
-		t.Fatal("answered a beat after the hold may have lapsed")
+	if _, ok := g.Heartbeat(&rep); ok {
+		t.Fatal("answered a heartbeat after the lease may have lapsed")
 	}
 }
 
@@ -759,8 +759,8 @@
 	s := newSite(t)
 	n := s.node(nil)
 	g, _ := s.elect(n)
-	beat(t, g, s.worker("n-1", "x", true))
-	beat(t, g, s.worker("n-2", "y", true))
+	heartbeat(t, g, s.worker("n-1", "x", true))
+	heartbeat(t, g, s.worker("n-2", "y", true))
 	s.advance(9 * time.Second)
 	g.abdicate()
 	if _, ok := n.el.MayAnswer(); !ok {
@@ -768,13 +768,13 @@
 	}
 	s.advance(2 * time.Second)
 	g.abdicate()
-	// The hold is dropped: the key goes.
+	// The lease is dropped: the key goes.
 	for s.state.Value(store.KeyLead, nil) {
 		runtime.Gosched()
 	}
 }
 
-// With many machines, one interval without any beat is proof enough: the sooner
+// With many machines, one interval without any heartbeat is proof enough: the sooner
 // another leads, the fewer leases run out.
 func TestDeafLeaderOfManyAbdicatesSooner(t *testing.T) {
 	s := newSite(t)
@@ -782,7 +782,7 @@
 	g, _ := s.elect(n)
 	s.advance(time.Second)
 	for i := range manyReport {
-		beat(t, g, s.worker(fmt.Sprintf("n-%d", i), "x", true))
+		heartbeat(t, g, s.worker(fmt.Sprintf("n-%d", i), "x", true))
 	}
 	s.advance(5 * time.Second)
 	g.abdicate()
@@ -803,7 +803,7 @@
 	a, b := s.node(limit), s.node(limit)
 	ga, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.resync(ga)
 	s.settle(ga)
@@ -813,15 +813,15 @@
 	}
 	s.submit(b, spec("j-2", nil))
 	gb, _ := s.elect(b)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if got := other.Starts(); len(got) != 0 {
 		t.Fatalf("beyond the limit: %v while %v are on another machine", got, w.Live())
 	}
-	beat(t, gb, w)
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
+	heartbeat(t, gb, w)
 	s.settle(gb)
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if got := len(other.Starts()) + len(w.Live()); got != 1 {
 		t.Fatalf("%d tasks after the cancelled ones were gone", got)
@@ -835,7 +835,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w := s.worker("n-1", "x", false)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Shape, sp.Rank, sp.Loaned = wire.ShapeStanding, "critical", false }))
 	s.resync(ga)
 	s.settle(ga)
@@ -852,7 +852,7 @@
 	g.mu.Unlock()
 	for range 3 {
 		s.advance(3 * time.Second)
-		beat(t, gb, other)
+		heartbeat(t, gb, other)
 	}
 	for range muteAfter {
 		g.probedAt = 0
@@ -884,21 +884,21 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 3 }))
 	s.resync(ga)
 	s.settle(ga)
 	w.End("j-1/0", wire.CauseDone)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	if n := ga.jobs["j-1"].ran.n; n != 1 {
 		t.Fatalf("%d runs measured, want the one whose start was seen", n)
 	}
 	s.settle(ga)
 	stop()
 	gb, _ := s.elect(b)
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	w.End("j-1/1", wire.CauseDone)
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	if j := gb.jobs["j-1"]; j.done != 2 || j.ran.n != 0 {
 		t.Errorf("done %d, runs measured %d; want 2 and none", j.done, j.ran.n)
 	}
@@ -914,7 +914,7 @@
 	g.demand(g.ck.Now())
 	g.mu.Unlock()
 	w.End("j-1/0", wire.CauseDone)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	s.advance(20 * time.Second)
 	g.mu.Lock()
@@ -1001,7 +1001,7 @@
 	}
 	for range 3 {
 		s.settle(g)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 	}
 	if got := w.Starts(); len(got) != 0 {
 		t.Errorf("started %v of a job that is done", got)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,10 +55,10 @@
 	Since    clock.Micros // reserved at
 	Tag      any          // the leader's own record of the task's job
 
-	// WithBeat: the run goes only with answers to beats. Those die with the next
-	// beat, so that nothing need be fenced before results are forgotten, and a
+	// WithHeartbeat: the run goes only with answers to heartbeats. Those die with the next
+	// heartbeat, so that nothing need be fenced before results are forgotten, and a
 	// machine that runs short tasks reports often anyway.
-	WithBeat bool
+	WithHeartbeat bool
 
 	Recorded bool         // durable: may be sent
 	Adopted  bool         // recorded by a predecessor
@@ -71,12 +71,12 @@
 	Cause    string
 	Settled  bool // the result is durable: the worker may forget
 
-	doubt     uint64 // highest token of a /do run that may arrive, or arrive again
-	flying    int    // /do requests with this run now in flight
-	beatTally uint64 // highest tally of a beat whose answer carried the run
-	firstSent clock.Micros
-	place     int  // its index in the machine's list
-	off       bool // no longer in the list
+	doubt          uint64 // highest token of a /do run that may arrive, or arrive again
+	flying         int    // /do requests with this run now in flight
+	heartbeatTally uint64 // highest tally of a heartbeat whose answer carried the run
+	firstSent      clock.Micros
+	place          int  // its index in the machine's list
+	off            bool // no longer in the list
 
 	Urged bool // its halt was sent directly once
 }
@@ -101,29 +101,29 @@
 	Accel    float64
 	RAM      float64
 
-	Session      uint64
-	Tally        uint64
-	Token        uint64       // highest the worker has reported
-	Beaten       bool         // has reported under this term
-	LastBeat     clock.Micros // received
-	AnsweredAt   clock.Micros // when a beat of it was last answered, copies included
-	LeaseEnd     clock.Micros // its tasks of Session are dead after this without another answer
-	WarnUntil    clock.Micros // spot notice: gone by then; zero when none
-	Listed       string       // status in the cloud's list; empty when not listed
-	ListedAt     clock.Micros
-	FirstSeen    clock.Micros
-	IdleFrom     clock.Micros // since when nothing is booked; zero when something is
-	Returning    bool         // a return was asked for
-	Banned       string       // why repair must empty it; empty when not banned
-	Cordoned     bool         // gets nothing new, is to be returned when empty
-	FailingUntil clock.Micros // gets nothing new before: several jobs failed on it, and it is not clear yet which is at fault
-	Probing      bool         // is being asked why it is silent
-	Mute         int          // such questions in a row without an answer
-	Unheard      int          // signs in a row that what it is told takes no effect
-	Suspect      bool         // was silent: one report does not make it trusted again
-	Hushed       bool         // among the silent ones
-	Slow         float64      // observed run time against other machines'; 1 is usual
-	SlowN        int
+	Session       uint64
+	Tally         uint64
+	Token         uint64       // highest the worker has reported
+	Reported      bool         // has reported under this term
+	LastHeartbeat clock.Micros // received
+	AnsweredAt    clock.Micros // when a heartbeat of it was last answered, copies included
+	LeaseEnd      clock.Micros // its tasks of Session are dead after this without another answer
+	WarnUntil     clock.Micros // spot notice: gone by then; zero when none
+	Listed        string       // status in the cloud's list; empty when not listed
+	ListedAt      clock.Micros
+	FirstSeen     clock.Micros
+	IdleFrom      clock.Micros // since when nothing is booked; zero when something is
+	Returning     bool         // a return was asked for
+	Banned        string       // why repair must empty it; empty when not banned
+	Cordoned      bool         // gets nothing new, is to be returned when empty
+	FailingUntil  clock.Micros // gets nothing new before: several jobs failed on it, and it is not clear yet which is at fault
+	Probing       bool         // is being asked why it is silent
+	Mute          int          // such questions in a row without an answer
+	Unheard       int          // signs in a row that what it is told takes no effect
+	Suspect       bool         // was silent: one report does not make it trusted again
+	Hushed        bool         // among the silent ones
+	Slow          float64      // observed run time against other machines'; 1 is usual
+	SlowN         int
 
 	UsedCores float64
 	UsedAccel float64
@@ -131,20 +131,20 @@
 
 	Images map[string]bool // bundles seen here; true once one was fetched whole
 
-	list   []*Booking // in the order of their reservation
-	byKey  map[key]*Booking
-	live   int // bookings that may be on it
-	strays map[key]stray
-	past   wire.Mark // as far as copies of an earlier process's reports may go, where the worker began to count anew
-	mixed  bool      // it adopted bookings of several sessions: those before the one that reports are over
-	missed bool      // a direct command did not get through since the last beat
-	told   uint64    // the token in the last answer
-	seen   []byte    // the task list of the last report, as it came
-	shown  uint64    // the token that it came with
-	steady bool      // that list holds no news and asks for no orders
-	dueAt  clock.Micros
-	due    int // its index in the fleet's order of lease ends, plus one
-	beat   *list.Element
+	list      []*Booking // in the order of their reservation
+	byKey     map[key]*Booking
+	live      int // bookings that may be on it
+	strays    map[key]stray
+	past      wire.Mark // as far as copies of an earlier process's reports may go, where the worker began to count anew
+	mixed     bool      // it adopted bookings of several sessions: those before the one that reports are over
+	missed    bool      // a direct command did not get through since the last heartbeat
+	told      uint64    // the token in the last answer
+	seen      []byte    // the task list of the last report, as it came
+	shown     uint64    // the token that it came with
+	steady    bool      // that list holds no news and asks for no orders
+	dueAt     clock.Micros
+	due       int // its index in the fleet's order of lease ends, plus one
+	heartbeat *list.Element
 }
 
 // key names an attempt on a machine.
@@ -180,16 +180,16 @@
 
 // Fleet is all machines known to the leader.
 type Fleet struct {
-	lease    clock.Micros // lease_s stretched for drift, with a margin
-	report   clock.Micros
-	machines map[string]*Machine
-	builds   map[string]wire.Build
-	first    uint64 // the term's first token
-	due      leases // machines with bookings, by when their lease may run out
-	beats    *list.List
-	doubts   map[*Booking]bool // with a run that went unanswered: it may yet arrive
-	repeats  map[*Booking]bool // with a run that was answered: it may arrive again
-	crowded  bool              // some machine's report is getting long with results that wait for that to be ruled out
+	lease      clock.Micros // lease_s stretched for drift, with a margin
+	report     clock.Micros
+	machines   map[string]*Machine
+	builds     map[string]wire.Build
+	first      uint64 // the term's first token
+	due        leases // machines with bookings, by when their lease may run out
+	heartbeats *list.List
+	doubts     map[*Booking]bool // with a run that went unanswered: it may yet arrive
+	repeats    map[*Booking]bool // with a run that was answered: it may arrive again
+	crowded    bool              // some machine's report is getting long with results that wait for that to be ruled out
 
 	// Room, if set, is told of every booking that comes to take room (+1) or no
 	// longer does (-1), with the zone that it counts for.
@@ -216,13 +216,13 @@
 	return m
 }
 
-// leaseMargin covers timer steps and the state service's slack in ending a hold.
+// leaseMargin covers timer steps and the state service's slack in ending a lease.
 const leaseMargin = 400 * clock.Millisecond
 
 // New makes an empty Fleet for a term that began with the given token.
 func New(lease, report clock.Micros, first uint64) *Fleet {
 	return &Fleet{first: first, lease: lease.Stretch(clock.Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
-		builds: map[string]wire.Build{}, beats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{}}
+		builds: map[string]wire.Build{}, heartbeats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{}}
 }
 
 func (f *Fleet) touch(m *Machine) {
@@ -239,7 +239,7 @@
 }
 
 // Reporting is how many machines have reported under this term and whose lease has not run out.
-func (f *Fleet) Reporting() int { return f.beats.Len() }
+func (f *Fleet) Reporting() int { return f.heartbeats.Len() }
 
 // Len is how many machines are known.
 func (f *Fleet) Len() int { return len(f.machines) }
@@ -323,9 +323,9 @@
 		return
 	}
 	delete(f.machines, name)
-	if m.beat != nil {
-		f.beats.Remove(m.beat)
-		m.beat = nil
+	if m.heartbeat != nil {
+		f.heartbeats.Remove(m.heartbeat)
+		m.heartbeat = nil
 	}
 	if m.due > 0 {
 		heap.Remove(&f.due, m.due-1)
@@ -447,11 +447,11 @@
 }
 
 // CountsAnew tells whether the worker is a process that began to count from the
-// start. Its beats may prove nothing for long, and get no orders then: what it is
+// start. Its heartbeats may prove nothing for long, and get no orders then: what it is
 // told goes to it directly.
 func (m *Machine) CountsAnew() bool { return m.past.Tenure > 0 }
 
-// ambiguous tells whether a beat may be a copy of what an earlier process of the
+// ambiguous tells whether a heartbeat may be a copy of what an earlier process of the
 // worker reported, though it counts higher than the present one has: that began
 // to count anew, so its sessions say nothing, and its tallies only once they are
 // beyond all that the earlier one can have reached. A question tells.
@@ -459,17 +459,17 @@
 	return m.CountsAnew() && (rep.Tenure != m.Session || rep.Tenure == m.past.Tenure && rep.Tally <= m.past.Tally)
 }
 
-// Report takes in a worker's report. viaBeat tells a beat from the body of a
-// /do or /show: only a beat proves that the answer to an earlier beat is dead,
-// because a worker has one beat in flight and drops answers that come late.
+// Report takes in a worker's report. viaBeat tells a heartbeat from the body of a
+// /do or /show: only a heartbeat proves that the answer to an earlier heartbeat is dead,
+// because a worker has one heartbeat in flight and drops answers that come late.
 // A report older than what is known changes nothing and gives fresh=false.
 //
 // A copy of a report may come long after it was made. What it can prove stays
 // true however late it is: an end, a newer session, and an absence only under
 // the conditions below. That the machine is there now, it cannot prove: see Trusted.
-func (f *Fleet) Report(now clock.Micros, rep *wire.Beat, viaBeat bool) (news []News, fresh bool) {
+func (f *Fleet) Report(now clock.Micros, rep *wire.Beat, viaHeartbeat bool) (news []News, fresh bool) {
 	m := f.Ensure(rep.Host, now)
-	if !m.Newer(rep.Tenure, rep.Tally) || viaBeat && m.ambiguous(rep) {
+	if !m.Newer(rep.Tenure, rep.Tally) || viaHeartbeat && m.ambiguous(rep) {
 		return nil, false
 	}
 	f.Visits++
@@ -478,7 +478,7 @@
 		// A new session: the worker has killed all that ran in the ones before.
 		// One that ended although it went on reporting, and was answered, either
 		// began anew or did not hear the answers: that alone does not tell which.
-		if m.Beaten && !m.Suspect && viaBeat && m.Session > 0 && now-m.LastBeat < 2*f.report {
+		if m.Reported && !m.Suspect && viaHeartbeat && m.Session > 0 && now-m.LastHeartbeat < 2*f.report {
 			m.Unheard = max(m.Unheard, deafSigns-1)
 		}
 		news = append(news, f.dropSessions(m, rep.Tenure, now)...)
@@ -494,8 +494,8 @@
 	}
 	m.Session, m.Tally = rep.Tenure, rep.Tally
 	// A report made after an answer shows its token, if the answer was heard.
-	unheard := viaBeat && (rep.Warrant < m.told || m.missed)
-	if viaBeat {
+	unheard := viaHeartbeat && (rep.Warrant < m.told || m.missed)
+	if viaHeartbeat {
 		m.missed = false
 	}
 	if rep.Warrant > m.Token {
@@ -510,7 +510,7 @@
 		f.touch(m)
 	}
 	m.WarnUntil = warned
-	if viaBeat {
+	if viaHeartbeat {
 		f.heard(m, now)
 	}
 	if m.steady && !unheard && rep.Warrant == m.shown && bytes.Equal(m.seen, rep.Raw) && len(rep.Raw) > 0 {
@@ -575,9 +575,9 @@
 		if b.Session != rep.Tenure || shown[b] {
 			return
 		}
-		unheard = unheard || viaBeat && b.beatTally > 0 && rep.Tally > b.beatTally && b.Status == "" && !b.Ended
-		// Not in the report. A /do is dead once the worker has seen a higher token; the answer to a beat is dead once a
-		// later beat has come.
+		unheard = unheard || viaHeartbeat && b.heartbeatTally > 0 && rep.Tally > b.heartbeatTally && b.Status == "" && !b.Ended
+		// Not in the report. A /do is dead once the worker has seen a higher token; the answer to a heartbeat is dead once a
+		// later heartbeat has come.
 		if b.copiesOut() {
 			return
 		}
@@ -587,7 +587,7 @@
 			}
 			return
 		}
-		if b.firstSent == 0 || !viaBeat || rep.Tally <= b.beatTally {
+		if b.firstSent == 0 || !viaHeartbeat || rep.Tally <= b.heartbeatTally {
 			return
 		}
 		if b.Status == "" && !b.Halt {
@@ -624,14 +624,14 @@
 // Deaf tells whether nothing told to the machine takes effect although it reports.
 func (m *Machine) Deaf() bool { return m.Unheard >= deafSigns }
 
-// heard notes a beat: when, and whether the machine may be trusted on it.
+// heard notes a heartbeat: when, and whether the machine may be trusted on it.
 //
 // A late copy can be the first report that a new leader sees, or the first
 // after a long silence. So a machine is trusted only once it has shown a
 // token of this term, which no copy made before it can, or has answered a
 // question (see Answers); after a silence, only the latter will do.
 func (f *Fleet) heard(m *Machine, now clock.Micros) {
-	if m.Beaten && now-m.LastBeat > 2*f.report && !m.Suspect {
+	if m.Reported && now-m.LastHeartbeat > 2*f.report && !m.Suspect {
 		m.Suspect = true
 		f.touch(m)
 	}
@@ -644,8 +644,8 @@
 // trust notes that a machine is there now: it has shown a token of this
 // term, or answered a question of it.
 func (f *Fleet) trust(m *Machine, now clock.Micros) {
-	if !m.Beaten {
-		m.Beaten = true
+	if !m.Reported {
+		m.Reported = true
 		f.touch(m)
 	}
 	m.Mute = 0
@@ -653,16 +653,16 @@
 		m.Hushed = false
 		f.touch(m)
 	}
-	m.LastBeat = now
-	if m.beat == nil {
-		m.beat = f.beats.PushBack(m)
+	m.LastHeartbeat = now
+	if m.heartbeat == nil {
+		m.heartbeat = f.heartbeats.PushBack(m)
 	} else {
-		f.beats.MoveToBack(m.beat)
+		f.heartbeats.MoveToBack(m.heartbeat)
 	}
 }
 
 // Answers takes in the report with which a worker answered a question, asked
-// when its reports had come as far as known. Unlike a beat it is surely of now. A worker that names an
+// when its reports had come as far as known. Unlike a heartbeat it is surely of now. A worker that names an
 // older session or tally than it did before the question is a new process:
 // its predecessor's tasks are gone with it, except those that a copy of a run,
 // still on its way, might start in the new one.
@@ -688,14 +688,14 @@
 		}
 		m.Session, m.Tally, m.Token = rep.Tenure, 0, rep.Warrant
 		m.Images, m.steady = map[string]bool{}, false
-		m.Beaten = m.Beaten && rep.Warrant >= f.first
+		m.Reported = m.Reported && rep.Warrant >= f.first
 		m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
 		// What is in doubt may yet be started by the new process, under its session.
 		m.Each(func(b *Booking) { b.Session, b.Status = rep.Tenure, "" })
 		f.touch(m)
 	}
 	more, _ := f.Report(now, rep, false)
-	m.LastBeat = now
+	m.LastHeartbeat = now
 	if m.Suspect {
 		m.Suspect = false
 		f.touch(m)
@@ -716,12 +716,12 @@
 // Mark is how far a machine's reports have come.
 func (m *Machine) Mark() wire.Mark { return wire.Mark{Tenure: m.Session, Tally: m.Tally} }
 
-// Hush lists the machines whose last beat is older than after, longest silent first.
+// Hush lists the machines whose last heartbeat is older than after, longest silent first.
 func (f *Fleet) Hush(now, after clock.Micros) (silent []*Machine) {
-	for e := f.beats.Front(); e != nil; e = e.Next() {
+	for e := f.heartbeats.Front(); e != nil; e = e.Next() {
 		m := e.Value.(*Machine)
 		f.Visits++
-		if now-m.LastBeat <= after {
+		if now-m.LastHeartbeat <= after {
 			break
 		}
 		silent = append(silent, m)
@@ -759,10 +759,10 @@
 		}
 		news = append(news, f.dropSessions(m, m.Session+1, now)...)
 		// Its next report may be a copy of one from before.
-		m.Beaten, m.Suspect = false, m.Suspect || m.Beaten
-		if m.beat != nil {
-			f.beats.Remove(m.beat)
-			m.beat = nil
+		m.Reported, m.Suspect = false, m.Suspect || m.Reported
+		if m.heartbeat != nil {
+			f.heartbeats.Remove(m.heartbeat)
+			m.heartbeat = nil
 		}
 		f.touch(m)
 	}
@@ -792,7 +792,7 @@
 	return news
 }
 
-// Answered notes that a beat of m is being answered, which extends its lease
+// Answered notes that a heartbeat of m is being answered, which extends its lease
 // if the answer is heard. That counts even for a copy that comes late.
 func (f *Fleet) Answered(m *Machine, now clock.Micros, token uint64) {
 	m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
@@ -815,9 +815,9 @@
 	Everything
 )
 
-// Orders lists what a worker should be told. For a beat, the runs in it are
-// noted as carried by the answer to the beat of this tally.
-func (f *Fleet) Orders(m *Machine, now clock.Micros, viaBeat bool, scope Scope) []wire.Order {
+// Orders lists what a worker should be told. For a heartbeat, the runs in it are
+// noted as carried by the answer to the heartbeat of this tally.
+func (f *Fleet) Orders(m *Machine, now clock.Micros, viaHeartbeat bool, scope Scope) []wire.Order {
 	orders := []wire.Order{}
 	if m.steady {
 		return orders
@@ -834,7 +834,7 @@
 		if !m.strays[s].ended {
 			zero := 0.0
 			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.task.String(), Try: s.attempt, LeewayS: &zero})
-		} else if viaBeat && m.Token >= f.first {
+		} else if viaHeartbeat && m.Token >= f.first {
 			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.task.String(), Try: s.attempt})
 		}
 	}
@@ -859,10 +859,10 @@
 			if b.Status != "" && b.Status != wire.PieceEnded {
 				orders = append(orders, b.halt(now))
 			}
-		case b.Recorded && scope == Everything && b.Status == "" && b.flying == 0 && (viaBeat || !b.WithBeat || m.CountsAnew()):
+		case b.Recorded && scope == Everything && b.Status == "" && b.flying == 0 && (viaHeartbeat || !b.WithHeartbeat || m.CountsAnew()):
 			runs = append(runs, wire.Order{Verb: wire.VerbRun, Piece: b.Task.String(), Try: b.Attempt})
-			if viaBeat {
-				b.beatTally = m.Tally
+			if viaHeartbeat {
+				b.heartbeatTally = m.Tally
 			}
 			if b.firstSent == 0 {
 				b.firstSent = now
@@ -1011,7 +1011,7 @@
 	n := 0
 	for b := range f.doubts {
 		f.Visits++
-		if m := b.Machine; b.doubt >= token && m.Beaten && now-m.LastBeat <= 3*f.report {
+		if m := b.Machine; b.doubt >= token && m.Reported && now-m.LastHeartbeat <= 3*f.report {
 			n++
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,7 +46,7 @@
 	return false
 }
 
-// The answer to a beat is dead once a later beat has come, not before: the
+// The answer to a heartbeat is dead once a later heartbeat has come, not before: the
 // body of a /do made in between proves nothing.
 func TestAbsenceAfterBeatAnswer(t *testing.T) {
 	f, m, b := booked(t)
@@ -55,10 +55,10 @@
 	}
 	f.Stop(b, 0, 3)
 	if news, _ := f.Report(4, rep(1, 2, 5), false); gone(news) {
-		t.Fatal("freed by the body of a /do while a beat's answer may be under way")
+		t.Fatal("freed by the body of a /do while a heartbeat's answer may be under way")
 	}
 	if news, _ := f.Report(5, rep(1, 3, 5), true); !gone(news) {
-		t.Fatal("not freed by a later beat that does not show it")
+		t.Fatal("not freed by a later heartbeat that does not show it")
 	}
 	if c, _, _ := m.Free(); c != 8 {
 		t.Errorf("free cores %v", c)
@@ -269,12 +269,12 @@
 		copy *wire.Beat
 		run  func(f *Fleet, m *Machine, b *Booking)
 	}{
-		{"run in a beat's answer, then shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+		{"run in a heartbeat's answer, then shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
 			heard(f, 4)
 			f.Orders(m, 3, true, Everything)
 			f.Report(4, rep(1, 5, 5, shown(wire.PieceRunning, "")), true)
 		}},
-		{"run in a beat's answer, stopped before it was shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+		{"run in a heartbeat's answer, stopped before it was shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
 			heard(f, 4)
 			f.Orders(m, 3, true, Everything)
 			f.Stop(b, 0, 4)
@@ -327,11 +327,11 @@
 	if news, _ := f.Report(2, rep(1, 3, 4), true); gone(news) || !b.Live() {
 		t.Fatal("a copy from before the run proved it absent")
 	}
-	if m.Beaten {
+	if m.Reported {
 		t.Error("a copy from before the term made the machine trusted")
 	}
 	f.Report(3, rep(1, 8, 5, shown(wire.PieceRunning, "")), true)
-	if !m.Beaten || b.Status != wire.PieceRunning {
+	if !m.Reported || b.Status != wire.PieceRunning {
 		t.Error("a report under this term's token was not believed")
 	}
 }
@@ -341,25 +341,25 @@
 func TestCopyDoesNotEndSilence(t *testing.T) {
 	f, m, _ := booked(t)
 	f.Report(2, rep(1, 2, 5), true)
-	if !m.Beaten {
+	if !m.Reported {
 		t.Fatal("not trusted at the start")
 	}
 	late := 2*report + 2*clock.Second
 	f.Report(late, rep(1, 3, 5), true)
-	if !m.Suspect || m.LastBeat != 2 {
-		t.Fatalf("suspect %t, last beat at %d after a report that may be late", m.Suspect, m.LastBeat)
+	if !m.Suspect || m.LastHeartbeat != 2 {
+		t.Fatalf("suspect %t, last heartbeat at %d after a report that may be late", m.Suspect, m.LastHeartbeat)
 	}
 	if got := f.Hush(late, 2*report); len(got) != 1 {
 		t.Errorf("silent: %d machines, want 1", len(got))
 	}
 	f.Answers(late+1, m.Mark(), rep(1, 4, 5))
-	if m.Suspect || m.LastBeat != late+1 {
+	if m.Suspect || m.LastHeartbeat != late+1 {
 		t.Error("still suspect after it answered a question")
 	}
 }
 
 // A worker's new process counts from the start again: its answer, not its
-// beats, tells it from late copies; what its predecessor ran is gone, except
+// heartbeats, tells it from late copies; what its predecessor ran is gone, except
 // what a copy of a run still under way might start.
 func TestNewProcessCountsAgain(t *testing.T) {
 	f, m, b := booked(t)
@@ -380,10 +380,10 @@
 	if !gone(news) || sure.Live() || !doubtful.Live() {
 		t.Fatalf("sure live %t, doubtful live %t", sure.Live(), doubtful.Live())
 	}
-	if m.Beaten {
+	if m.Reported {
 		t.Error("the new process is trusted before it knows the token")
 	}
-	if _, fresh := f.Report(6, rep(1, 3, 5), true); !fresh || !m.Beaten {
+	if _, fresh := f.Report(6, rep(1, 3, 5), true); !fresh || !m.Reported {
 		t.Error("the new process is ignored")
 	}
 	// The doubt ends only under a higher token, as ever.
@@ -400,7 +400,7 @@
 // A worker began to count anew, and copies of what its earlier process reported come
 // late: they count higher than the new one does, and show nothing of what runs
 // there. None of them proves anything; an answer to a question does, and so does a
-// beat beyond all that the earlier process can have reached.
+// heartbeat beyond all that the earlier process can have reached.
 func TestCopiesOfAnEarlierProcess(t *testing.T) {
 	for _, tt := range []struct {
 		name             string
@@ -418,11 +418,11 @@
 			f, m, _ := booked(t)
 			f.Report(2, rep(tt.session, tt.tally, 5), true)
 			f.Answers(3, m.Mark(), rep(1, 2, 5))
-			b := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 1, Cores: 1, WithBeat: true}
+			b := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 1, Cores: 1, WithHeartbeat: true}
 			f.Reserve(m, b, 4)
 			b.Recorded = true
 			if fl := f.Launch(m, 4, 5, Everything); fl == nil || !fl.Runs() {
-				t.Fatal("its run waits for a beat that may not be believed")
+				t.Fatal("its run waits for a heartbeat that may not be believed")
 			} else {
 				f.Landed(fl, Void)
 			}
--- a/gap_test.go
+++ b/gap_test.go
@@ -53,7 +53,7 @@
 	g, _ = s.elect(nodes[0])
 	nodes[0].term.Store(g)
 	w = s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	for _, uid := range []string{"j-1", "j-2"} {
 		s.submit(nodes[1], spec(uid, nil))
 	}
@@ -62,7 +62,7 @@
 	}
 	s.resync(g)
 	s.settle(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	if got := len(w.Live()); got != 2 {
 		t.Fatalf("%d tasks run, want 2", got)
 	}
@@ -88,8 +88,8 @@
 
 // The cancellation gap: the state service refuses the leader alone, another
 // controller confirms a cancel, then it is down for all. The leader goes on
-// answering beats on the others' word, which must carry the cancel: the task is
-// stopped by the answer to a beat, without any hold, and no other is.
+// answering heartbeats on the others' word, which must carry the cancel: the task is
+// stopped by the answer to a heartbeat, without any hold, and no other is.
 func TestAttestationCarriesCancels(t *testing.T) {
 	s, nodes, g, w := gap(t)
 	deafToHints(nodes[1])
@@ -99,14 +99,14 @@
 		t.Fatalf("running %v: the leader can't know yet", got)
 	}
 	s.state.Refuse("", true)
-	s.advance(8 * time.Second) // the hold of the leader may have lapsed
+	s.advance(8 * time.Second) // the lease of the leader may have lapsed
 	if _, may := nodes[0].el.MayOrder(); may {
-		t.Fatal("the leader still has its hold")
+		t.Fatal("the leader still has its lease")
 	}
 	if _, may := nodes[0].el.MayAnswer(); !may {
-		t.Fatal("all attest the outage, and the leader answers no beats")
+		t.Fatal("all attest the outage, and the leader answers no heartbeats")
 	}
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	if got := w.Live(); len(got) != 1 || got[0] != "j-2/0" {
 		t.Fatalf("running %v after the attested leader answered, want j-2/0 alone", got)
 	}
@@ -115,7 +115,7 @@
 	s.state.Refuse("", false)
 	s.advance(2 * time.Second)
 	s.resync(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if got := w.Starts(); len(got) != 2 {
 		t.Errorf("starts %v, want each job's once", got)
@@ -125,7 +125,7 @@
 
 // A controller that can't name every cancel since the leader last knew does not
 // attest: it began since, it has forgotten some, or they fit no message. Then
-// beats go unanswered when the hold ends, and the leases do the rest.
+// heartbeats go unanswered when the lease ends, and the leases do the rest.
 func TestWhoCannotVouchDoesNotAttest(t *testing.T) {
 	tests := map[string]func(s *site, n *Service) *Service{
 		"began since": func(s *site, n *Service) *Service {
@@ -245,15 +245,15 @@
 		runtime.Gosched()
 	}
 	s.advance(time.Second)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if got := w.Starts(); len(got) != 2 {
 		t.Fatalf("started %v before the state service was asked", got)
 	}
 	s.resync(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	if got := w.Live(); len(got) != 1 || got[0] != "j-2/0" {
 		t.Errorf("running %v, want the job that was not cancelled", got)
 	}
@@ -280,7 +280,7 @@
 			n, other := s.node(nil), s.node(nil)
 			g, _ := s.elect(n)
 			w := s.worker("n-1", "x", true)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			g.pulse()
 			s.submit(n, spec("j-1", nil))
 			s.resync(g)
@@ -303,7 +303,7 @@
 			if scope != fleet.NoRuns {
 				t.Fatalf("scope %v, want no runs", scope)
 			}
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			g.dispatch(t.Context())
 			if got := w.Starts(); len(got) != 0 {
 				t.Fatalf("started %v, which was cancelled", got)
@@ -319,7 +319,7 @@
 			}
 			cancel()
 			<-done
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			s.settle(g)
 			if got := w.Starts(); len(got) != 0 {
 				t.Errorf("started %v, which was cancelled", got)
@@ -328,7 +328,7 @@
 	}
 }
 
-// A leader that renews its hold but can't read the changes of jobs gives the
+// A leader that renews its lease but can't read the changes of jobs gives the
 // lead up while its successor can still stop in time what was cancelled.
 func TestBlindLeaderGivesUp(t *testing.T) {
 	s, n, g, _ := alone(t)
@@ -387,9 +387,9 @@
 	s.state.Refuse("", true)
 	s.advance(8 * time.Second)
 	if _, may := nodes[0].el.MayOrder(); may {
-		t.Fatal("the leader still has its hold")
+		t.Fatal("the leader still has its lease")
 	}
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	if got := w.Live(); len(got) != 1 || got[0] != "j-2/0" {
 		t.Errorf("running %v after the attested leader answered, want j-2/0 alone", got)
 	}
--- a/gate.go
+++ b/gate.go
@@ -11,7 +11,7 @@
 )
 
 // gate is the listener of users and workers. It keeps their connections within
-// a budget: when they run short, answers to beats ask for the connection to be
+// a budget: when they run short, answers to heartbeats ask for the connection to be
 // closed, then the longest idle connection makes way for a new one, and one for
 // which none can is turned away at once, since the load balancer and workers
 // turn to another node sooner than a connection in the backlog is given up.
--- a/gate_test.go
+++ b/gate_test.go
@@ -30,7 +30,7 @@
 func (s scripted) Close() error   { return nil }
 func (s scripted) Addr() net.Addr { return &net.TCPAddr{} }
 
-// When connections run short, beats are still answered: their answers ask for
+// When connections run short, heartbeats are still answered: their answers ask for
 // a close, idle connections make way, and what has no room is turned away at
 // once instead of hanging in the backlog.
 func TestConnectionsRunShort(t *testing.T) {
@@ -47,17 +47,17 @@
 		_, err := c.Read(make([]byte, 1))
 		return err == io.EOF
 	}
-	beat := func() *httptest.ResponseRecorder {
+	heartbeat := func() *httptest.ResponseRecorder {
 		rec := httptest.NewRecorder()
 		body, _ := wire.Marshal(map[string]any{"host": "n-1", "tenure": 1, "tally": 1, "warrant": 0, "pieces": []any{}})
-		agent.ServeBeat(&Service{}, g.Short)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(body[:len(body)-1])))
+		agent.ServeHeartbeat(&Service{}, g.Short)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(body[:len(body)-1])))
 		return rec
 	}
 	var far []net.Conn
 	var near []net.Conn
 	for i := range most {
-		if closing := beat().Header().Get("Connection") == "close"; closing != (i > most-most/8) {
-			t.Errorf("with %d of %d connections, the answer to a beat asks for a close: %t", i, most, closing)
+		if closing := heartbeat().Header().Get("Connection") == "close"; closing != (i > most-most/8) {
+			t.Errorf("with %d of %d connections, the answer to a heartbeat asks for a close: %t", i, most, closing)
 		}
 		far = append(far, dial())
 		c, err := g.Accept()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -58,10 +58,10 @@
 	return b
 }
 
-// Report is the worker's next beat.
+// Report is the worker's next heartbeat.
 func (w *Worker) Report() wire.Beat { w.mu.Lock(); defer w.mu.Unlock(); return w.report() }
 
-// Take executes the answer to a beat, unless its token is too low.
+// Take executes the answer to a heartbeat, unless its token is too low.
 func (w *Worker) Take(a wire.BeatAnswer) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/knowledge.go
+++ b/knowledge.go
@@ -20,7 +20,7 @@
 const watchSpan = 10 * clock.Second
 
 // spell numbers the spells in which changes may have been missed: the service
-// failed this node, its hold may have lapsed, or the process stood still.
+// failed this node, its lease may have lapsed, or the process stood still.
 func (g *term) spell() uint64 { return g.st.Spells() + g.el.Lapses() + g.stood }
 
 // upToDate tells whether the changes of the last spell have been read. The
@@ -46,8 +46,8 @@
 }
 
 // read notes that all changes of jobs up to an epoch are known, by a read that
-// began after the given spell, under the hold or not. The epoch counts only if the
-// hold stands still: then no successor's change can be among them, and none of a
+// began after the given spell, under the lease or not. The epoch counts only if the
+// lease stands still: then no successor's change can be among them, and none of a
 // process of another node that came after a successor there. The caller holds mu.
 func (g *term) read(epoch uint64, began clock.Micros, spell uint64, held bool) {
 	g.readAt = max(g.readAt, began)
@@ -165,7 +165,7 @@
 // callOff stops the tasks of jobs that are said to be cancelled, or about to be.
 // That is a hint, the truth is in the state service: the jobs stay on the books,
 // and go on if the next read of changes does not find them cancelled. A stop
-// breaks no rule, so it needs no hold.
+// breaks no rule, so it needs no lease.
 func (g *term) callOff(uids []string) {
 	g.mu.Lock()
 	ctx, now, told := g.ctx, g.ck.Now(), false
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -17,11 +17,11 @@
 )
 
 // AttestSpan is how long after asking them the others' word that the state
-// service refuses everyone lets a leader go on answering beats.
+// service refuses everyone lets a leader go on answering heartbeats.
 const AttestSpan = 1500 * clock.Millisecond
 
-// holdMargin is taken off a hold's own time, for clocks that drift and answers that take time.
-const holdMargin = 250 * clock.Millisecond
+// leaseMargin is taken off a lease's own time, for clocks that drift and answers that take time.
+const leaseMargin = 250 * clock.Millisecond
 
 // Term is one time of leadership.
 type Term struct {
@@ -48,13 +48,13 @@
 	leading  bool
 	term     Term
 	token    uint64
-	hold     uint64
-	until    clock.Micros // the hold cannot have lapsed before this
+	lease    uint64
+	until    clock.Micros // the lease cannot have lapsed before this
 	attested clock.Micros // the others' word is good until this
 	leader   string       // who leads, as last seen; empty when nobody does
 	seenAt   clock.Micros // when the state service last confirmed that
 	newest   uint64       // the highest stamp of the lead key that this process has seen
-	lapses   uint64       // times at which the hold was renewed after it may have lapsed
+	lapses   uint64       // times at which the lease was renewed after it may have lapsed
 	seq      uint64
 	vStamp   uint64 // of the token key
 	resting  clock.Micros
@@ -97,7 +97,7 @@
 	return e.leader
 }
 
-// MayAnswer tells whether this node is entitled to answer beats right now, and its token.
+// MayAnswer tells whether this node is entitled to answer heartbeats right now, and its token.
 func (e *Elector) MayAnswer() (token uint64, ok bool) {
 	now := e.ck.Now()
 	e.mu.Lock()
@@ -105,7 +105,7 @@
 	return e.token, e.leading && (now < e.until || now < e.attested)
 }
 
-// MayOrder tells whether this node may give new orders: only under a hold that has not lapsed.
+// MayOrder tells whether this node may give new orders: only under a lease that has not lapsed.
 func (e *Elector) MayOrder() (token uint64, ok bool) {
 	now := e.ck.Now()
 	e.mu.Lock()
@@ -121,21 +121,21 @@
 	return e.newest
 }
 
-// Lapses counts how often the hold was renewed after it may have lapsed.
+// Lapses counts how often the lease was renewed after it may have lapsed.
 func (e *Elector) Lapses() uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.lapses
 }
 
-// renewed notes that the hold was renewed by a request sent at the given time.
+// renewed notes that the lease was renewed by a request sent at the given time.
 func (e *Elector) renewed(asked clock.Micros) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ck.Now() >= e.until {
 		e.lapses++
 	}
-	e.until = asked + e.ttl - holdMargin
+	e.until = asked + e.ttl - leaseMargin
 }
 
 // Stamp is the lead key's stamp under the current term.
@@ -175,16 +175,16 @@
 		e.keep(rctx)
 		e.mu.Lock()
 		e.leading, e.quit = false, nil
-		hold := e.hold
+		lease := e.lease
 		e.leader = ""
 		e.mu.Unlock()
 		cancel()
 		<-done
 		e.log.Info("no longer leading", "token", term.Token)
-		// Ended politely where possible: the others need not wait for the hold to lapse.
+		// Ended politely where possible: the others need not wait for the lease to lapse.
 		dctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clock.Second.Duration())
-		if err := e.st.Drop(dctx, hold); err != nil {
-			e.log.Debug("drop hold", "error", err)
+		if err := e.st.Drop(dctx, lease); err != nil {
+			e.log.Debug("drop lease", "error", err)
 		}
 		cancel()
 	}
@@ -220,7 +220,7 @@
 		e.mu.Unlock()
 		if rec.Node == e.node && row.Hold != 0 {
 			// An earlier process of this node holds the key. It has ended, or this one
-			// would not run, so nobody need wait for its hold to lapse.
+			// would not run, so nobody need wait for its lease to lapse.
 			if err := e.st.Drop(ctx, row.Hold); err == nil {
 				continue
 			}
@@ -251,9 +251,9 @@
 		return Term{}, errors.New("resting after an abdication")
 	}
 	asked := e.ck.Now()
-	hold, err := e.st.Grant(ctx, e.ttl)
+	lease, err := e.st.Grant(ctx, e.ttl)
 	if err != nil {
-		return Term{}, fmt.Errorf("ask for a hold: %w", err)
+		return Term{}, fmt.Errorf("ask for a lease: %w", err)
 	}
 	row, found, err := e.st.Get(ctx, store.Vital, store.KeyToken)
 	if err != nil {
@@ -269,27 +269,27 @@
 	epoch, err := e.st.Commit(ctx, store.Vital, wire.Txn{
 		When: []wire.When{{Path: store.KeyLead}, {Path: store.KeyToken, Stamp: row.Stamp}},
 		Apply: []wire.Apply{
-			{Set: store.KeyLead, Value: store.LeadRecord{Node: e.node, Nonce: nonce}, Hold: hold},
+			{Set: store.KeyLead, Value: store.LeadRecord{Node: e.node, Nonce: nonce}, Hold: lease},
 			{Set: store.KeyToken, Value: store.TokenRecord{Token: last.Token + 1, Nonce: nonce}},
 		},
 	})
 	if err != nil {
-		// Not knowing is losing: if the key was taken after all, its hold lapses unrenewed.
-		_ = e.st.Drop(ctx, hold)
+		// Not knowing is losing: if the key was taken after all, its lease lapses unrenewed.
+		_ = e.st.Drop(ctx, lease)
 		return Term{}, fmt.Errorf("take the lead: %w", err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leading, e.leader, e.hold = true, e.node, hold
+	e.leading, e.leader, e.lease = true, e.node, lease
 	e.token, e.vStamp = last.Token+1, epoch
-	e.until = asked + e.ttl - holdMargin
+	e.until = asked + e.ttl - leaseMargin
 	e.attested = 0
 	e.newest = max(e.newest, epoch)
 	e.term = Term{Token: e.token, Stamp: epoch, Since: e.ck.Now()}
 	return e.term, nil
 }
 
-// keep renews the hold until it is known to have ended.
+// keep renews the lease until it is known to have ended.
 func (e *Elector) keep(ctx context.Context) {
 	for {
 		e.pause(ctx, e.renew)
@@ -297,18 +297,18 @@
 			return
 		}
 		asked := e.ck.Now()
-		err := e.st.Renew(ctx, e.hold, min(e.renew, clock.Second))
+		err := e.st.Renew(ctx, e.lease, min(e.renew, clock.Second))
 		switch {
 		case err == nil:
 			e.renewed(asked)
 			continue
-		case errors.Is(err, store.ErrNoHold):
+		case errors.Is(err, store.ErrNoLease):
 			return
 		}
 		e.log.Debug("renewal failed", "error", err)
-		// From here on the leader lives on what is left of its hold, unless every
+		// From here on the leader lives on what is left of its lease, unless every
 		// other controller is refused as well: then nobody can have replaced it.
-		for !errors.Is(err, store.ErrNoHold) && ctx.Err() == nil {
+		for !errors.Is(err, store.ErrNoLease) && ctx.Err() == nil {
 			asked := e.ck.Now()
 			actx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
 			ok := e.st.Probe(actx, 400*clock.Millisecond) && e.attest(actx)
@@ -319,14 +319,14 @@
 				e.mu.Unlock()
 			}
 			asked = e.ck.Now()
-			err = e.st.Renew(ctx, e.hold, 500*clock.Millisecond)
+			err = e.st.Renew(ctx, e.lease, 500*clock.Millisecond)
 			if err == nil {
 				e.renewed(asked)
 				break
 			}
 			e.pause(ctx, 300*clock.Millisecond)
 		}
-		if errors.Is(err, store.ErrNoHold) {
+		if errors.Is(err, store.ErrNoLease) {
 			return
 		}
 	}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -79,12 +79,12 @@
 	b := start(t)
 	b.step(t, 10*time.Second)
 	if _, ok := b.el.MayOrder(); !ok {
-		t.Fatal("lost a hold that was renewed")
+		t.Fatal("lost a lease that was renewed")
 	}
 	b.state.Refuse("a", true)
 	b.step(t, 6*time.Second)
 	if _, ok := b.el.MayAnswer(); ok {
-		t.Error("answers beats after its hold may have lapsed, though others are served")
+		t.Error("answers heartbeats after its lease may have lapsed, though others are served")
 	}
 	if b.asked.Load() == 0 {
 		t.Error("the others were never asked")
@@ -97,21 +97,21 @@
 	b.state.Refuse("", true)
 	b.step(t, 30*time.Second)
 	if _, ok := b.el.MayAnswer(); !ok {
-		t.Error("does not answer beats though all are refused")
+		t.Error("does not answer heartbeats though all are refused")
 	}
 	if _, ok := b.el.MayOrder(); ok {
-		t.Error("orders something new without a hold")
+		t.Error("orders something new without a lease")
 	}
 	// One of the others is served again: nobody knows what it may do.
 	b.all.Store(false)
 	b.step(t, 2*time.Second)
 	if _, ok := b.el.MayAnswer(); ok {
-		t.Error("answers beats after another was no longer refused")
+		t.Error("answers heartbeats after another was no longer refused")
 	}
 	b.state.Refuse("", false)
 	b.step(t, time.Second)
 	if _, ok := b.el.MayOrder(); !ok {
-		t.Error("does not order after the outage, though its hold had its full time again")
+		t.Error("does not order after the outage, though its lease had its full time again")
 	}
 }
 
@@ -139,6 +139,6 @@
 	b.state.Refuse("", true)
 	b.step(t, 6*time.Second)
 	if _, ok := b.el.MayAnswer(); ok {
-		t.Error("answers beats on an attestation that was asked for longer ago than it holds")
+		t.Error("answers heartbeats on an attestation that was asked for longer ago than it holds")
 	}
 }
--- a/lean_test.go
+++ b/lean_test.go
@@ -15,21 +15,21 @@
 		_, g := ledFleet(t, machines, tasks)
 		raw := body(t, report(0, tasks, 1, g.r.Token))
 		tally := uint64(100)
-		beat := func() {
+		heartbeat := func() {
 			tally++
 			setTally(t, raw, tally)
 			rep, err := wire.DecodeBeat(raw)
 			if err != nil {
 				t.Fatal(err)
 			}
-			ans, ok := g.Beat(&rep)
+			ans, ok := g.Heartbeat(&rep)
 			// The first list that comes as bytes is new.
 			if !ok || len(ans.Orders) != 0 || rep.Pieces != nil && tally > 101 {
 				t.Fatalf("answered %t with %d orders, %d tasks decoded", ok, len(ans.Orders), len(rep.Pieces))
 			}
 		}
-		beat()
-		return testing.AllocsPerRun(200, beat)
+		heartbeat()
+		return testing.AllocsPerRun(200, heartbeat)
 	}
 	small, large := allocs(20, 4), allocs(400, 60)
 	// The race detector lets pools lose some of what they keep.
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -110,7 +110,7 @@
 			nodes := []*Service{s.node(nil), s.node(nil), s.node(nil)}
 			g, _ := s.elect(nodes[0])
 			w := s.worker("n-1", "x", true)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			// Every node knows the time before, so that it could answer from it.
 			for _, n := range nodes {
 				if code, _, _ := s.ask(n, http.MethodGet, wire.PathRuns+"/j-1", nil); code != http.StatusNotFound {
@@ -133,7 +133,7 @@
 			s.told("cancelled", s.asks(nodes, "j-2", true), wire.JobCancelled, "503")
 			s.resync(g)
 			w.End("j-1/0", wire.CauseDone)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			s.settle(g)
 			if _, v := s.until(nodes, http.MethodGet, wire.PathRuns+"/j-1", nil); v.Status != wire.JobDone {
 				t.Fatalf("ended: %+v", v)
@@ -160,7 +160,7 @@
 	nodes := []*Service{s.node(nil), s.node(nil), s.node(nil)}
 	g, _ := s.elect(nodes[0])
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	for k := range 8 {
 		uid := fmt.Sprintf("j-%d", k)
 		release := s.state.Stall()
@@ -224,7 +224,7 @@
 	a, b := s.node(nil), s.node(nil)
 	g, _ := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(b, spec("j-1", nil))
 	s.submit(b, spec("j-2", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.submit(b, spec("j-3", nil))
@@ -255,7 +255,7 @@
 	w.End("j-1/0", wire.CauseDone)
 	w.End("j-2/0", wire.CauseDone)
 	w.End("j-2/1", wire.CauseDone)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.meanwhile(func() { g.step(t.Context()) }, func() {
 		for _, uid := range []string{"j-1", "j-2"} {
 			is(uid, wire.JobDone)
@@ -290,7 +290,7 @@
 		a, b := s.node(nil), s.node(nil)
 		g, _ := s.elect(a)
 		w := s.worker("n-1", "x", true)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		uids := []string{"j-1", "j-2"}
 		for _, uid := range uids {
 			s.submit(a, spec(uid, func(sp *wire.Spec) { sp.Pieces, sp.Cores = pieces, 1 }))
@@ -340,7 +340,7 @@
 		for _, p := range w.Live() {
 			w.End(p, wire.CauseDone)
 		}
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		drain()
 		for _, uid := range uids {
 			if code, v, _ := s.ask(b, http.MethodPost, wire.PathRuns, spec(uid, nil)); code != http.StatusOK || v.Status != wire.JobDone {
@@ -393,7 +393,7 @@
 	s.state.Deliver()
 	for range 12 {
 		s.advance(time.Second)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.settle(g)
 	}
 	if now, _ := n.el.MayOrder(); now <= before {
@@ -431,7 +431,7 @@
 				a, b, c := s.node(limited(4)), s.node(limited(4)), s.node(limited(4))
 				g, stop := s.elect(a)
 				hung, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-				beat(t, g, hung)
+				heartbeat(t, g, hung)
 				uids := []string{"j-1", "j-2"}[:3-pieces]
 				for _, uid := range uids {
 					s.submit(a, spec(uid, func(sp *wire.Spec) { sp.Pieces = pieces }))
@@ -450,14 +450,14 @@
 				s.submit(b, spec("j-3", func(sp *wire.Spec) { sp.Pieces = 2 }))
 				nothing := func(when string, g *term) {
 					t.Helper()
-					beat(t, g, other)
+					heartbeat(t, g, other)
 					s.settle(g)
-					beat(t, g, other)
+					heartbeat(t, g, other)
 					if got := other.Starts(); len(got) != 0 {
 						t.Fatalf("%s: %v started beyond the limit", when, got)
 					}
 				}
-				beat(t, g, other)
+				heartbeat(t, g, other)
 				s.resync(g)
 				nothing("under the leader that saw the cancel", g)
 				stop()
@@ -481,17 +481,17 @@
 				case "newer session":
 					hung.Expire()
 					hung.Unreachable(false)
-					beat(t, g, hung)
+					heartbeat(t, g, hung)
 				case "halted":
 					hung.Unreachable(false)
 					for range 2 {
-						beat(t, g, hung)
+						heartbeat(t, g, hung)
 						s.settle(g)
 					}
 				}
-				beat(t, g, other)
+				heartbeat(t, g, other)
 				s.settle(g)
-				beat(t, g, other)
+				heartbeat(t, g, other)
 				if got := len(other.Live()) + len(hung.Live()); proof == "return" && len(other.Live()) != 2 || proof != "return" && got != 2 {
 					t.Errorf("%d tasks run after the proof, want 2: the room is not used", got)
 				}
@@ -517,7 +517,7 @@
 				a, b, c := s.node(limited(8)), s.node(limited(8)), s.node(limited(8))
 				g, stop := s.elect(a)
 				w := s.worker("n-1", "x", true)
-				beat(t, g, w)
+				heartbeat(t, g, w)
 				for _, uid := range []string{"j-1", "j-2"} {
 					s.submit(a, spec(uid, func(sp *wire.Spec) { sp.Pieces, sp.Cores = pieces, 4/float64(pieces) }))
 				}
@@ -559,7 +559,7 @@
 				if !cancelled {
 					cancel()
 				}
-				beat(t, g, w)
+				heartbeat(t, g, w)
 				g.mu.Lock()
 				if used := g.fl.Machine("n-1").UsedCores; used != 8 && len(w.Live()) == 2*pieces {
 					t.Errorf("%v cores in use while %v are there", used, w.Live())
@@ -577,7 +577,7 @@
 				<-watching
 				for range 3 {
 					s.settle(g)
-					beat(t, g, w)
+					heartbeat(t, g, w)
 				}
 				for _, p := range w.Live() {
 					if strings.HasPrefix(p, "j-2/") {
@@ -624,7 +624,7 @@
 				s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = pieces }))
 				s.resync(g)
 				w, other := s.worker("n-000200", "x", true), s.worker("n-000201", "y", true)
-				beat(t, g, w)
+				heartbeat(t, g, w)
 				lost := s.state.Lost()
 				if late {
 					s.state.DelayNext()
@@ -659,15 +659,15 @@
 				}
 				// The machine that holds nothing comes first: it may get the task only if
 				// the record of the first did not come about.
-				beat(t, g, other)
+				heartbeat(t, g, other)
 				s.settle(g)
 				deliver()
 				if !late && len(other.Starts()) != 0 {
 					t.Errorf("started on another machine than on record: %v", other.Starts())
 				}
 				for range 3 {
-					beat(t, g, w)
-					beat(t, g, other)
+					heartbeat(t, g, w)
+					heartbeat(t, g, other)
 					s.settle(g)
 				}
 				g.resize(t.Context())
@@ -676,8 +676,8 @@
 				}
 				for range 10 { // longer than three times the list's lag
 					s.advance(3 * time.Second)
-					beat(t, g, w)
-					beat(t, g, other)
+					heartbeat(t, g, w)
+					heartbeat(t, g, other)
 				}
 				if err := g.readList(t.Context()); err != nil {
 					t.Fatal(err)
@@ -703,14 +703,14 @@
 	a, b := s.node(limited(2)), s.node(limited(2))
 	g, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	copies := []wire.Beat{w.Report()} // nothing there yet
 	s.submit(a, spec("j-1", nil))
 	s.resync(g)
 	s.settle(g)
 	copies = append(copies, w.Report()) // the first attempt, in the first session
 	w.Expire()
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	copies = append(copies, w.Report()) // nothing there, in the second session
 	s.settle(g)
 	if got := w.Starts(); len(got) != 2 {
@@ -728,10 +728,10 @@
 	all := func() {
 		t.Helper()
 		for _, c := range copies {
-			if _, ok := a.Beat(&c); ok {
+			if _, ok := a.Heartbeat(&c); ok {
 				t.Error("answered by a controller that does not lead")
 			}
-			if ans, ok := b.Beat(&c); ok {
+			if ans, ok := b.Heartbeat(&c); ok {
 				for _, o := range ans.Orders {
 					if o.Verb == wire.VerbRun && o.Try != 2 {
 						t.Errorf("a copy is answered with %+v", o)
@@ -739,7 +739,7 @@
 				}
 			}
 		}
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		s.settle(g)
 		if got := append(w.Starts(), other.Starts()...); len(got) != 2 {
 			t.Fatalf("started on the word of old reports: %v", got)
@@ -752,22 +752,22 @@
 	all()
 	if cancel {
 		for range 3 {
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			s.settle(g)
-			beat(t, g, other)
+			heartbeat(t, g, other)
 		}
 		if got := append(w.Live(), other.Live()...); !slices.Equal(got, []string{"j-2/0"}) {
 			t.Errorf("on the machines %v after the worker itself reported", got)
 		}
 		return
 	}
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	slices.Reverse(copies) // the oldest comes last
 	all()
 	g.mu.Lock()
-	if m := g.fl.Machine("n-1"); m.Session != 2 || !m.Beaten || m.LiveCount() != 1 {
-		t.Errorf("after copies came behind newer reports: session %d, trusted %t, %d tasks", m.Session, m.Beaten, m.LiveCount())
+	if m := g.fl.Machine("n-1"); m.Session != 2 || !m.Reported || m.LiveCount() != 1 {
+		t.Errorf("after copies came behind newer reports: session %d, trusted %t, %d tasks", m.Session, m.Reported, m.LiveCount())
 	}
 	g.mu.Unlock()
 	if got := w.Live(); !slices.Equal(got, []string{"j-1/0"}) {
@@ -806,7 +806,7 @@
 	var ws []*standin.Worker
 	for i := range 3 {
 		w := s.worker(fmt.Sprintf("n-%d", i+1), "x", true)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		ws = append(ws, w)
 	}
 	uid := func(k int) string { return fmt.Sprintf("j-%d", k) }
@@ -833,7 +833,7 @@
 					w.End(p, wire.CauseDone)
 				}
 			}
-			beat(t, g, w)
+			heartbeat(t, g, w)
 		}
 		s.ask(nodes[at%2], http.MethodGet, wire.PathRuns+"/"+uid(max(0, 4*at-8)), nil)
 		s.settle(g)
@@ -945,7 +945,7 @@
 		if _, v, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/j-3/"+wire.SuffixAbort, nil); v.Status != wire.JobCancelled {
 			t.Fatalf("abort: %+v", v)
 		}
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.resync(g)
 		drain()
 		// One that is recorded twice alone: its first record must not come back over the second.
@@ -957,7 +957,7 @@
 		drain()
 		s.settle(g)
 		w.End("j-4/0", wire.CauseDone)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		g.mu.Lock()
 		g.dirty["j-4"] = true // need not wait for others' results
 		g.mu.Unlock()
@@ -994,7 +994,7 @@
 	a.users.Relay = a.relay
 	ga, _ := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.submit(a, spec("j-1", nil))
 	s.submit(a, spec("j-2", nil))
 	s.resync(ga)
@@ -1004,9 +1004,9 @@
 	for range 8 {
 		s.advance(time.Second)
 		rep := w.Report()
-		if ans, ok := ga.Beat(&rep); ok {
+		if ans, ok := ga.Heartbeat(&rep); ok {
 			if !s.state.Value(store.KeyLead, nil) {
-				t.Fatal("answers a beat while another may lead")
+				t.Fatal("answers a heartbeat while another may lead")
 			}
 			w.Take(ans)
 		}
@@ -1018,15 +1018,15 @@
 	s.resync(gb)
 	s.told("asked at the cut node", s.asks([]*Service{a}, "j-1", true), "503")
 	s.settle(ga)
-	if rep := w.Report(); func() bool { _, ok := ga.Beat(&rep); return ok }() {
-		t.Error("the cut leader still answers beats")
+	if rep := w.Report(); func() bool { _, ok := ga.Heartbeat(&rep); return ok }() {
+		t.Error("the cut leader still answers heartbeats")
 	}
 	for range 3 {
-		beat(t, gb, w)
+		heartbeat(t, gb, w)
 		s.settle(gb)
 	}
 	w.Deliver()
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	s.settle(gb)
 	if got := w.Live(); !slices.Equal(got, []string{"j-2/0"}) {
 		t.Errorf("on the machine %v, want the job that was not cancelled", got)
@@ -1045,14 +1045,14 @@
 			nodes := []*Service{s.node(nil), s.node(nil)}
 			g, _ := s.elect(nodes[0])
 			w := s.worker("n-1", "x", true)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			s.submit(nodes[1], spec("j-1", func(sp *wire.Spec) { sp.Pieces = pieces }))
 			s.resync(g)
 			s.settle(g)
 			for _, p := range w.Live() {
 				w.End(p, wire.CauseDone)
 			}
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			g.mu.Lock()
 			wr := g.collect() // about to be recorded
 			g.mu.Unlock()
@@ -1101,7 +1101,7 @@
 	a, b := s.node(nil), s.node(nil)
 	g, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(a, spec("j-1", nil))
 	s.resync(g)
 	s.settle(g)
@@ -1112,8 +1112,8 @@
 	for range 10 {
 		s.advance(3 * time.Second)
 		rep := w.Report()
-		g.Beat(&rep) // the answer is lost
-		beat(t, g, other)
+		g.Heartbeat(&rep) // the answer is lost
+		heartbeat(t, g, other)
 		s.settle(g)
 		if got := other.Starts(); len(got) != 0 {
 			t.Fatalf("started elsewhere while it may run: %v", got)
@@ -1121,8 +1121,8 @@
 	}
 	w.Expire()
 	rep := w.Report()
-	g.Beat(&rep)
-	beat(t, g, other)
+	g.Heartbeat(&rep)
+	heartbeat(t, g, other)
 	s.settle(g)
 	if got := other.Starts(); len(got) != 1 || len(w.Live()) != 0 {
 		t.Errorf("after its session ended: %v started", got)
@@ -1137,7 +1137,7 @@
 	nodes := []*Service{s.node(nil), s.node(nil)}
 	g, stop := s.elect(nodes[0])
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(nodes[0], spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.submit(nodes[0], spec("j-2", func(sp *wire.Spec) { sp.Pieces, sp.Cores = 3, 1 }))
 	s.resync(g)
@@ -1147,11 +1147,11 @@
 	for k := 1; k <= 10; k++ {
 		if p := ends[k]; p != "" {
 			w.End(p, wire.CauseDone)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			if k != 5 { // this result is not recorded when the leader ends
 				s.settle(g)
 				s.advance(3 * time.Second)
-				beat(t, g, w)
+				heartbeat(t, g, w)
 				s.settle(g)
 			}
 		}
@@ -1170,7 +1170,7 @@
 			t.Fatalf("token %d after %d", g.r.Token, last)
 		}
 		last = g.r.Token
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.settle(g)
 		want := map[string]string{"j-1": wire.JobQueued, "j-2": wire.JobQueued}
 		if k >= 7 {
@@ -1200,7 +1200,7 @@
 	n := s.node(nil)
 	g, stop := s.elect(n)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
 	s.resync(g)
 	s.settle(g)
@@ -1208,14 +1208,14 @@
 	s.clk.Advance(40 * time.Second)
 	s.nodes--
 	g, _ = s.elect(s.node(nil))
-	beat(t, g, other)
+	heartbeat(t, g, other)
 	s.settle(g)
 	if got := other.Starts(); len(got) != 0 {
 		t.Fatalf("started before the machine on record reported: %v", got)
 	}
 	w.Expire()
-	beat(t, g, w)
-	beat(t, g, other)
+	heartbeat(t, g, w)
+	heartbeat(t, g, other)
 	s.settle(g)
 	if got := len(w.Live()) + len(other.Live()); got != 2 || len(w.Starts())+len(other.Starts()) != 4 {
 		t.Errorf("%d tasks run, starts %v and %v", got, w.Starts(), other.Starts())
@@ -1232,10 +1232,10 @@
 	s.submit(n, spec("j-2", func(sp *wire.Spec) { sp.Cores = 4 }))
 	s.resync(g)
 	s.settle(g)
-	beat(t, g, other)
+	heartbeat(t, g, other)
 	for range 2 {
 		s.advance(3 * time.Second)
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		s.settle(g)
 	}
 	if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/j-2/"+wire.SuffixAbort, nil); code != http.StatusOK {
@@ -1248,7 +1248,7 @@
 	}
 	for range 4 {
 		s.advance(3 * time.Second)
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		s.settle(g)
 		if got := other.Starts(); len(got) != 0 {
 			t.Fatalf("started elsewhere within the lease: %v", got)
@@ -1260,7 +1260,7 @@
 	s.submit(n, spec("j-3", nil))
 	s.resync(g)
 	for range 2 {
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		s.settle(g)
 	}
 	if got := other.Live(); !slices.Equal(got, []string{"j-1/0", "j-3/0"}) || len(w.Starts()) != before {
@@ -1278,7 +1278,7 @@
 	here := []*standin.Worker{s.worker("n-1", "x", true), s.worker("n-2", "x", true), s.worker("n-3", "x", true)}
 	there := []*standin.Worker{s.worker("n-4", "y", true), s.worker("n-5", "y", true)}
 	for _, w := range here {
-		beat(t, g, w)
+		heartbeat(t, g, w)
 	}
 	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.Yard = 2, 4, "x" }))
 	s.submit(n, spec("j-2", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.SamePlace = 4, 4, true }))
@@ -1295,7 +1295,7 @@
 	}
 	for range 6 {
 		for _, w := range there {
-			beat(t, g, w)
+			heartbeat(t, g, w)
 		}
 		s.settle(g)
 		s.advance(3 * time.Second)
@@ -1306,7 +1306,7 @@
 	for range 3 {
 		s.advance(3 * time.Second)
 		for _, w := range there {
-			beat(t, g, w)
+			heartbeat(t, g, w)
 		}
 		s.settle(g)
 	}
@@ -1414,7 +1414,7 @@
 			}
 			s.clk.Advance(500 * time.Millisecond)
 			r := <-ready
-			s.state.Deliver() // the first attempt, under a hold that was given up
+			s.state.Deliver() // the first attempt, under a lease that was given up
 			var key store.LeadRecord
 			if !s.state.Value(store.KeyLead, &key) || key.Node != a.cfg.Node || r.Token <= before || r.Token != token() {
 				t.Fatalf("leads under %d, on record are %d, %d before, and %q", r.Token, token(), before, key.Node)
@@ -1447,14 +1447,14 @@
 		a, b := s.node(limited(4)), s.node(limited(4))
 		g, stop := s.elect(a)
 		w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores = pieces, 4/float64(pieces) }))
 		s.resync(g)
 		s.settle(g)
 		for _, p := range w.Live() {
 			w.End(p, wire.CauseDone)
 		}
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		g.mu.Lock()
 		wr := g.collect()
 		g.mu.Unlock()
@@ -1464,9 +1464,9 @@
 		stop()
 		s.submit(b, spec("j-2", nil))
 		g, _ = s.elect(b)
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		s.settle(g)
-		beat(t, g, other)
+		heartbeat(t, g, other)
 		if got := other.Starts(); len(got) != 1 {
 			t.Errorf("%d tasks a job: %v started beside tasks that have ended, want the job that waits", pieces, got)
 		}
--- a/model_test.go
+++ b/model_test.go
@@ -474,12 +474,12 @@
 		}
 	}
 	// A leader that is cut from the state service or the others can't hear of a
-	// cancel, and may answer beats with the run again while its hold lasts.
+	// cancel, and may answer heartbeats with the run again while its lease lasts.
 	if w.had(cutState, cutPeers, cutZone) {
 		span = max(span, modelLease)
 	}
 	// A command that is held runs late, and a leader that is held apart from all
-	// that could tell it of a cancel gives commands on while its hold lasts.
+	// that could tell it of a cancel gives commands on while its lease lasts.
 	if w.s.holds {
 		span = max(span, min(modelCancel, modelLease+commandSpan+hung+w.heldFor()))
 	}
@@ -520,7 +520,7 @@
 // boot plays a rented machine.
 func (w *world) boot(h wire.Host, b wire.Build) *standin.Machine {
 	m := &standin.Machine{Host: h, Build: b, Report: modelReport, Lease: modelLease, Nodes: []string{"node-1", "node-2", "node-3"},
-		Beat: w.beat, Ledger: w}
+		Beat: w.heartbeat, Ledger: w}
 	m.Held = func() time.Duration {
 		if x, ok := w.troubled(holdCommand); ok {
 			w.note("command to %s held up for %v", h.UID, x.by)
@@ -649,8 +649,8 @@
 	return status, body, err
 }
 
-// beat carries a worker's report to a controller.
-func (w *world) beat(ctx context.Context, m *standin.Machine, node string, rep wire.Beat) (int, []byte, error) {
+// heartbeat carries a worker's report to a controller.
+func (w *world) heartbeat(ctx context.Context, m *standin.Machine, node string, rep wire.Beat) (int, []byte, error) {
 	raw, err := wire.Marshal(rep)
 	if err != nil {
 		return 0, nil, err
@@ -799,7 +799,7 @@
 	n := newService(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)), clock.New(standin.NewSteady()))
 	link.Dial = real
 	dialMu.Unlock()
-	n.front.Post(wire.PathBeat, agent.ServeBeat(n, func() bool { return false }))
+	n.front.Post(wire.PathBeat, agent.ServeHeartbeat(n, func() bool { return false }))
 	ctx, cancel := context.WithCancel(w.ctx)
 	p := &process{Service: n, name: name}
 	p.stop = func() {
--- a/picture.go
+++ b/picture.go
@@ -12,7 +12,7 @@
 
 // usable tells whether a machine may be given tasks.
 func (g *term) usable(m *fleet.Machine, now clock.Micros) bool {
-	return m.Beaten && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && m.FailingUntil <= now
+	return m.Reported && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && m.FailingUntil <= now
 }
 
 // judge bans a machine that has a notice, is slow or does not hear, and lifts
@@ -198,7 +198,7 @@
 
 // paceOfCore is how many tasks of the lowest priority a controller with a whole core
 // starts in a second, so that no huge batch of short tasks takes the processor
-// that beats and urgent work need. A task costs its start, its end and its part
+// that heartbeats and urgent work need. A task costs its start, its end and its part
 // in the reports of its machine.
 const paceOfCore = 1500
 
--- a/rules_test.go
+++ b/rules_test.go
@@ -29,7 +29,7 @@
 // deliver hands a report to the leader without the worker learning the answer.
 func deliver(t *testing.T, g *term, rep wire.Beat) wire.BeatAnswer {
 	t.Helper()
-	ans, ok := g.Beat(&rep)
+	ans, ok := g.Heartbeat(&rep)
 	if !ok {
 		t.Fatalf("beat of %s not answered", rep.Host)
 	}
@@ -45,7 +45,7 @@
 	g, _ := s.elect(n)
 	w := s.worker("n-1", "x", true)
 	rep := w.Report()
-	ans, _ := g.Beat(&rep)
+	ans, _ := g.Heartbeat(&rep)
 	w.Take(ans)
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
@@ -69,7 +69,7 @@
 		for i := range machines {
 			rep := report(i, 2, tally, 0)
 			rep.Endpoint = "127.0.0.1:1" // nothing answers there
-			if _, ok := g.Beat(rep); !ok {
+			if _, ok := g.Heartbeat(rep); !ok {
 				t.Fatal("not answered")
 			}
 		}
@@ -93,7 +93,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	uids := []string{"j-1", "j-2", "j-3"}
 	s.submit(a, spec("j-1", nil))
 	s.resync(ga)
@@ -111,7 +111,7 @@
 	// The same submission later succeeds, at any node.
 	s.submit(b, spec("j-3", nil))
 	gb, _ := s.elect(b)
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	s.resync(gb)
 	s.settle(gb)
 	for _, n := range []*Service{a, b} {
@@ -158,7 +158,7 @@
 func TestDeafMachineIsReturned(t *testing.T) {
 	s, n, g, w := alone(t)
 	for i := range 4 { // others that hear, so that the fault is not the leader's
-		beat(t, g, s.worker(fmt.Sprintf("n-9%d", i), "z", false))
+		heartbeat(t, g, s.worker(fmt.Sprintf("n-9%d", i), "z", false))
 	}
 	other := s.worker("n-2", "y", true)
 	w.Unreachable(true)
@@ -173,7 +173,7 @@
 	if s.usable(g, "n-1") {
 		t.Fatal("still given work")
 	}
-	beat(t, g, other)
+	heartbeat(t, g, other)
 	if len(other.Starts()) != 0 {
 		t.Fatal("its task was started elsewhere without proof")
 	}
@@ -215,8 +215,8 @@
 		t.Fatal("not banned")
 	}
 	w.Unreachable(false)
-	beat(t, g, w)
-	beat(t, g, w)
+	heartbeat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if !s.usable(g, "n-1") || g.fl.Machine("n-1").Banned != "" || len(w.Starts()) != 1 {
 		t.Errorf("banned %q after it heard again, starts %v", g.fl.Machine("n-1").Banned, w.Starts())
@@ -231,7 +231,7 @@
 	var all []*standin.Worker
 	for i := range 4 {
 		w := s.worker("n-"+string(rune('1'+i)), "x", true)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		w.Unreachable(true)
 		all = append(all, w)
 	}
@@ -242,7 +242,7 @@
 		s.advance(2 * time.Second)
 		for _, w := range all {
 			rep := w.Report()
-			g.Beat(&rep) // the answer is lost
+			g.Heartbeat(&rep) // the answer is lost
 		}
 	}
 	g.step(t.Context())
@@ -261,7 +261,7 @@
 	a, b := s.node(nil), s.node(nil)
 	ga, stop := s.elect(a)
 	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	old := w.Report() // shows nothing yet
 	s.submit(a, spec("j-1", nil))
 	s.resync(ga)
@@ -273,12 +273,12 @@
 	if s.usable(gb, "n-1") {
 		t.Fatal("trusted on a copy from before the term")
 	}
-	beat(t, gb, other)
+	heartbeat(t, gb, other)
 	s.settle(gb)
 	if len(other.Starts()) != 0 {
 		t.Fatalf("started elsewhere on the word of a late copy: %v", other.Starts())
 	}
-	beat(t, gb, w)
+	heartbeat(t, gb, w)
 	s.settle(gb)
 	deliver(t, gb, old)
 	s.settle(gb)
@@ -318,9 +318,9 @@
 		t.Fatal("revived by a late copy")
 	}
 	w.Unreachable(false)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if !s.usable(g, "n-1") || len(w.Starts()) != 1 {
 		t.Errorf("not trusted after it answered; starts %v", w.Starts())
@@ -335,7 +335,7 @@
 	s.resync(g)
 	s.settle(g)
 	for range 5 {
-		beat(t, g, w)
+		heartbeat(t, g, w)
 	}
 	w.Restart()
 	for range 3 {
@@ -352,14 +352,14 @@
 	}
 }
 
-// A controller back within a moment does not wait for its own earlier hold to
+// A controller back within a moment does not wait for its own earlier lease to
 // lapse, and nothing that its predecessor left under way counts for it.
 func TestControllerBackWithinAMoment(t *testing.T) {
 	s := newSite(t)
 	n := s.node(nil)
 	g, _ := s.elect(n)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	before := g.r
 	s.submit(n, spec("j-1", nil))
 	s.resync(g)
@@ -375,7 +375,7 @@
 	s.kill(n)
 	s.nodes-- // the same node again
 	again := s.node(nil)
-	ga, _ := s.elect(again) // the clock stands still: no hold lapses
+	ga, _ := s.elect(again) // the clock stands still: no lease lapses
 	if ga.r.Token <= before.Token {
 		t.Fatalf("token %d after %d", ga.r.Token, before.Token)
 	}
@@ -383,7 +383,7 @@
 	if got := s.state.Keys(store.PrefixRuns); len(got) != 0 {
 		t.Errorf("the earlier process's late record was written: %v", got)
 	}
-	beat(t, ga, w)
+	heartbeat(t, ga, w)
 	s.settle(ga)
 	if got := w.Starts(); len(got) != 1 {
 		t.Errorf("starts %v, want one", got)
@@ -391,7 +391,7 @@
 }
 
 // Without the state service and the other controllers, a leader stops answering
-// beats before anybody else can act, sends no steward, tells users nothing and
+// heartbeats before anybody else can act, sends no steward, tells users nothing and
 // is not healthy.
 func TestCutOffWithItsWorkers(t *testing.T) {
 	s := newSite(t)
@@ -401,7 +401,7 @@
 	g, _ := s.elect(n)
 	n.term.Store(g)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.submit(n, spec("j-1", nil))
 	s.state.Refuse(n.cfg.Node, true)
 	s.advance(5 * time.Second)
@@ -411,7 +411,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	agent.ServeBeat(n, func() bool { return false })(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(raw)))
+	agent.ServeHeartbeat(n, func() bool { return false })(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(raw)))
 	if rec.Code != http.StatusServiceUnavailable {
 		t.Errorf("beat: %d %s", rec.Code, rec.Body)
 	}
@@ -479,10 +479,10 @@
 			w.End(live[0], wire.CauseDone)
 			small()
 		}
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.resync(g)
 		s.settle(g)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.settle(g)
 	}
 	if began == 0 {
@@ -497,7 +497,7 @@
 	var hung []*standin.Worker
 	for i, z := range zones {
 		w := s.worker(fmt.Sprintf("n-1%d", i), z, false)
-		beat(s.t, g, w)
+		heartbeat(s.t, g, w)
 		hung = append(hung, w)
 	}
 	s.submit(n, spec("j-1", func(sp *wire.Spec) {
@@ -506,7 +506,7 @@
 	s.resync(g)
 	s.settle(g)
 	for _, w := range hung {
-		beat(s.t, g, w)
+		heartbeat(s.t, g, w)
 		w.Unreachable(true)
 	}
 	var rest []*standin.Worker
@@ -515,12 +515,12 @@
 	}
 	for range 2 {
 		for _, w := range rest {
-			beat(s.t, g, w)
+			heartbeat(s.t, g, w)
 		}
 		s.advance(3 * time.Second)
 	}
 	for _, w := range rest {
-		beat(s.t, g, w)
+		heartbeat(s.t, g, w)
 	}
 	for range muteAfter {
 		g.probedAt = 0
@@ -579,11 +579,11 @@
 		before = s.state.Puts()
 		for i := range tasks - 1 {
 			w.End(fmt.Sprintf("j-1/%d", i), wire.CauseDone)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			s.settle(g)
 		}
 		s.advance(3 * time.Second)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.settle(g)
 		return placed, s.state.Puts() - before
 	}
--- a/service.go
+++ b/service.go
@@ -96,7 +96,7 @@
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
 	gate := newGate(front, s.socks.gate, s.ck, s.log)
-	s.front.Post(wire.PathBeat, agent.ServeBeat(s, gate.Short))
+	s.front.Post(wire.PathBeat, agent.ServeHeartbeat(s, gate.Short))
 	srv := &http.Server{Handler: s.front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
 		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), ConnState: gate.note}
 	var wg sync.WaitGroup
@@ -166,13 +166,13 @@
 	s.st.Lead(len(s.cfg.Others) == 0)
 }
 
-// Beat implements agent.Steward.
-func (s *Service) Beat(rep *wire.Beat) (wire.BeatAnswer, bool) {
+// Heartbeat implements agent.Steward.
+func (s *Service) Heartbeat(rep *wire.Beat) (wire.BeatAnswer, bool) {
 	g := s.term.Load()
 	if g == nil {
 		return wire.BeatAnswer{}, false
 	}
-	return g.Beat(rep)
+	return g.Heartbeat(rep)
 }
 
 // Leader implements agent.Steward.
--- a/silent.go
+++ b/silent.go
@@ -76,7 +76,7 @@
 	// not silent; counting them once kept a hung one from being returned.
 	if now-g.r.Since > 2*report+2*clock.Second {
 		for m := range g.unheard {
-			if m.Beaten || m.Bookings() == 0 || g.fl.Machine(m.Name) != m {
+			if m.Reported || m.Bookings() == 0 || g.fl.Machine(m.Name) != m {
 				delete(g.unheard, m)
 			} else if m.Endpoint != "" && !m.Returning && !m.Lapsed(now) {
 				silent = append(silent, m)
@@ -120,7 +120,7 @@
 		quiet[m.Zone]++
 	}
 	g.fl.All(func(m *fleet.Machine) {
-		if m.Beaten || g.unheard[m] {
+		if m.Reported || g.unheard[m] {
 			all[m.Zone]++
 		}
 	})
@@ -130,7 +130,7 @@
 		switch {
 		case g.fl.Machine(m.Name) != m || m.Returning || m.Mute < muteAfter || !g.hasReplica(m):
 			delete(g.mute, m)
-		case cut[m.Zone] && m.Beaten:
+		case cut[m.Zone] && m.Reported:
 		case len(names) < wire.MaxReturn:
 			m.Returning = true
 			g.touched[m] = true
@@ -183,7 +183,7 @@
 	for len(g.proofs) > 0 && now-g.proofs[0].at >= proofAfter && g.probes < g.socks.probes {
 		m := g.proofs[0].m
 		g.proofs = g.proofs[1:]
-		if !m.Beaten && g.fl.Machine(m.Name) == m {
+		if !m.Reported && g.fl.Machine(m.Name) == m {
 			g.ask(m)
 		}
 	}
@@ -210,7 +210,7 @@
 	}
 	m.Probing = true
 	g.probes++
-	g.log.Debug("worker is asked for its report", "host", m.Name, "silent", (g.ck.Now() - m.LastBeat).Seconds(), "mute", m.Mute)
+	g.log.Debug("worker is asked for its report", "host", m.Name, "silent", (g.ck.Now() - m.LastHeartbeat).Seconds(), "mute", m.Mute)
 	go g.probe(g.ctx, m, m.Endpoint, m.Mark())
 }
 
@@ -230,7 +230,7 @@
 		if m.CountsAnew() {
 			g.toTell[m] = true
 		}
-	case now-m.LastBeat < report && !m.Suspect, !m.Beaten && !m.Suspect && now-m.AnsweredAt < report:
+	case now-m.LastHeartbeat < report && !m.Suspect, !m.Reported && !m.Suspect && now-m.AnsweredAt < report:
 		// It reports, trusted or not yet: only this question was lost.
 	default:
 		if m.Mute++; m.Mute >= muteAfter {
@@ -241,16 +241,16 @@
 	g.wake()
 }
 
-// cutReports is how many report intervals without any beat make a leader
+// cutReports is how many report intervals without any heartbeat make a leader
 // believe that it is cut off from the workers.
 const cutReports = 3
 
 // manyReport is how many machines make that sure sooner: each of them reports
-// within five quarters of an interval, so one interval without any beat is no
+// within five quarters of an interval, so one interval without any heartbeat is no
 // chance, and every second counts against the leases of all.
 const manyReport = 10
 
-// cutAfter is how long no beat may come before the leader gives up. A new
+// cutAfter is how long no heartbeat may come before the leader gives up. A new
 // leader waits longer, since its workers have yet to find it. The caller holds mu.
 func (g *term) cutAfter(report clock.Micros) clock.Micros {
 	if g.fl.Reporting() >= manyReport && g.heard > max(g.r.Since, g.awake) {
@@ -295,7 +295,7 @@
 // expected counts the machines that ought to report. The caller holds mu.
 func (g *term) expected() (n int) {
 	g.fl.All(func(m *fleet.Machine) {
-		if m.Beaten || m.Bookings() > 0 || m.Listed == wire.HostRunning {
+		if m.Reported || m.Bookings() > 0 || m.Listed == wire.HostRunning {
 			n++
 		}
 	})
--- a/size_test.go
+++ b/size_test.go
@@ -57,9 +57,9 @@
 	return b
 }
 
-// All workers come to a new leader within a second or two. What each beat costs
+// All workers come to a new leader within a second or two. What each heartbeat costs
 // does not grow with the fleet, nothing is moved or started meanwhile, and each
-// machine is trusted by its second beat.
+// machine is trusted by its second heartbeat.
 func TestSurgeAfterAllControllersEnded(t *testing.T) {
 	const tasks = 4
 	visits := func(machines int) float64 {
@@ -67,7 +67,7 @@
 		g.fl.Visits = 0
 		for tally, token := range []uint64{0, g.r.Token} {
 			for i := range machines {
-				ans, ok := g.Beat(report(i, tasks, uint64(tally)+1, token))
+				ans, ok := g.Heartbeat(report(i, tasks, uint64(tally)+1, token))
 				if !ok || len(ans.Orders) != 0 || ans.Warrant != g.r.Token {
 					t.Fatalf("machine %d of %d: answered %t, %+v", i, machines, ok, ans)
 				}
@@ -81,7 +81,7 @@
 	}
 	small, large := visits(200), visits(2000)
 	if small != large || large > 4*tasks {
-		t.Errorf("a beat of the surge visits %.1f and %.1f, want the same and few", small, large)
+		t.Errorf("a heartbeat of the surge visits %.1f and %.1f, want the same and few", small, large)
 	}
 }
 
@@ -94,8 +94,8 @@
 		s, g := adopted(t, machines, tasks)
 		s.advance(10 * time.Second)
 		for i := range machines - lost {
-			g.Beat(report(i, tasks, 1, 0))
-			g.Beat(report(i, tasks, 2, g.r.Token))
+			g.Heartbeat(report(i, tasks, 1, 0))
+			g.Heartbeat(report(i, tasks, 2, g.r.Token))
 		}
 		s.advance(14 * time.Second)
 		g.mu.Lock()
@@ -149,7 +149,7 @@
 	s.resync(g)
 	s.settle(g)
 	w.End("j-1/0", wire.CauseDone)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	s.settle(g)
 	if code, _, _ := s.ask(n, "POST", wire.PathRuns+"/j-2/"+wire.SuffixAbort, nil); code != 200 {
 		t.Fatalf("abort: %d", code)
--- a/sizing.go
+++ b/sizing.go
@@ -166,14 +166,14 @@
 		if listed[m.Name] {
 			continue
 		}
-		quiet := m.LastBeat == 0 || now-m.LastBeat > 2*lag
+		quiet := m.LastHeartbeat == 0 || now-m.LastHeartbeat > 2*lag
 		if quiet && now-m.FirstSeen > 3*lag && now-m.ListedAt > 3*lag && m.Lapsed(now) && m.Bookings() == 0 {
 			g.fl.Drop(m.Name)
 		}
 	}
 	for name, p := range g.pending {
 		for h, at := range p.hosts {
-			if m := g.fl.Machine(h); listed[h] || m != nil && m.Beaten || now-at > 4*lag {
+			if m := g.fl.Machine(h); listed[h] || m != nil && m.Reported || now-at > 4*lag {
 				delete(p.hosts, h)
 			}
 		}
@@ -643,10 +643,10 @@
 	quiet, known := map[string]int{}, map[string]int{}
 	late, never := g.overdue(now)
 	for _, m := range g.fl.Machines() {
-		if m.Build == "" || !m.Beaten && m.ListedAt == 0 && m.Bookings() == 0 {
+		if m.Build == "" || !m.Reported && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
 		}
-		h := cloud.Held{Name: m.Name, Build: m.Build, Zone: m.Zone, Loaned: m.Loaned, Up: m.Beaten, Cordoned: m.Cordoned,
+		h := cloud.Held{Name: m.Name, Build: m.Build, Zone: m.Zone, Loaned: m.Loaned, Up: m.Reported, Cordoned: m.Cordoned,
 			UsedCores: m.UsedCores}
 		m.Each(func(b *fleet.Booking) {
 			if b.Live() {
@@ -669,20 +669,20 @@
 		}
 		// What was up and has been silent for two reports is replaced at once: a
 		// machine takes longer to boot than a lease to run out.
-		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Beaten && (m.Hushed || m.Suspect) ||
-			!m.Beaten && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
-			g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report+2*clock.Second || late[m]
+		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Reported && (m.Hushed || m.Suspect) ||
+			!m.Reported && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
+			g.unheard[m] && !m.Reported && now-g.r.Since > 2*report+2*clock.Second || late[m]
 		held = append(held, h)
-		if g.unheard[m] && !m.Beaten && now-g.r.Since > 2*report || m.Beaten && (m.Hushed || m.Suspect) {
+		if g.unheard[m] && !m.Reported && now-g.r.Since > 2*report || m.Reported && (m.Hushed || m.Suspect) {
 			quiet[m.Zone]++
 			known[m.Zone]++
-		} else if m.Beaten {
+		} else if m.Reported {
 			known[m.Zone]++
 		}
 		dead := m.Listed == wire.HostFailed ||
 			never[m] ||
-			m.Beaten && now-max(m.LastBeat, g.awake) > silent ||
-			!m.Beaten && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since, g.awake) > silent ||
+			m.Reported && now-max(m.LastHeartbeat, g.awake) > silent ||
+			!m.Reported && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since, g.awake) > silent ||
 			(m.Banned == "sick" || m.Banned == "slow") && h.Live == 0 ||
 			m.Returning
 		if dead && !m.Returning {
@@ -865,7 +865,7 @@
 	for _, name := range hosts {
 		h.hosts[name] = now
 		g.asked[name] = asked
-		if m := g.fl.Machine(name); m != nil && m.Beaten {
+		if m := g.fl.Machine(name); m != nil && m.Reported {
 			g.cameUp(m, now) // before the cloud had answered
 		}
 	}
--- a/step.go
+++ b/step.go
@@ -227,7 +227,7 @@
 		if scope == fleet.Everything {
 			delete(g.toTell, m)
 		}
-		if !m.Beaten || m.Suspect || m.Returning || g.fl.Machine(m.Name) != m || !g.urgent(m, scope) {
+		if !m.Reported || m.Suspect || m.Returning || g.fl.Machine(m.Name) != m || !g.urgent(m, scope) {
 			continue
 		}
 		fl := g.fl.Launch(m, now, token, scope)
@@ -239,14 +239,14 @@
 	}
 }
 
-// urgent tells whether a machine has commands that should not wait for its next beat.
+// urgent tells whether a machine has commands that should not wait for its next heartbeat.
 func (g *term) urgent(m *fleet.Machine, scope fleet.Scope) bool {
 	urgent := m.CountsAnew()
 	m.Each(func(b *fleet.Booking) {
 		if !b.Live() || b.Session != m.Session {
 			return
 		}
-		if scope == fleet.Everything && b.Recorded && !b.Halt && b.Sent() == 0 && !b.WithBeat || b.Halt && !b.Urged {
+		if scope == fleet.Everything && b.Recorded && !b.Halt && b.Sent() == 0 && !b.WithHeartbeat || b.Halt && !b.Urged {
 			urgent = true
 			b.Urged = b.Halt
 		}
@@ -255,7 +255,7 @@
 }
 
 // mayFly tells whether a direct command may still go out: what it says of runs
-// and results needs the hold and all that was cancelled, a stop needs neither.
+// and results needs the lease and all that was cancelled, a stop needs neither.
 func (g *term) mayFly(fl *fleet.Flight) bool {
 	token, may := g.el.MayOrder()
 	if token != fl.Token {
@@ -269,8 +269,8 @@
 	return may && (g.upToDate() || !fl.Runs())
 }
 
-// errLate means that a command was not sent: it is of an earlier token or hold.
-var errLate = errors.New("the token or the hold that it was made under is over")
+// errLate means that a command was not sent: it is of an earlier token or lease.
+var errLate = errors.New("the token or the lease that it was made under is over")
 
 // fly sends one /do and takes its outcome in.
 func (g *term) fly(ctx context.Context, fl *fleet.Flight) {
@@ -297,7 +297,7 @@
 	case err != nil && err != errLate && ctx.Err() == nil:
 		g.fl.Missed(m)
 	}
-	// Without the hold the loop may be waiting for the state service.
+	// Without the lease the loop may be waiting for the state service.
 	more := g.toTell[fl.Machine] && g.scope() == fleet.OnlyHalts
 	g.mu.Unlock()
 	g.wake()
--- a/still_test.go
+++ b/still_test.go
@@ -10,8 +10,8 @@
 	"cedardoor/wire"
 )
 
-// A process may stand still, longer than its hold, at any point. Whatever it had
-// computed before and is about to send is checked against the hold at the last
+// A process may stand still, longer than its lease, at any point. Whatever it had
+// computed before and is about to send is checked against the lease at the last
 // step, so that nothing of it goes out after.
 func TestNothingOfBeforeGoesOutAfterStandingStill(t *testing.T) {
 	s, n, g, w := alone(t)
@@ -47,8 +47,8 @@
 	if got := s.cloud.Asked(); len(got) != 0 {
 		t.Errorf("machines were rented on what was known before: %v", got)
 	}
-	if _, ok := g.Beat(&rep); ok {
-		t.Error("a beat was answered")
+	if _, ok := g.Heartbeat(&rep); ok {
+		t.Error("a heartbeat was answered")
 	}
 	if g.fl.Machine("n-1").Deaf() {
 		t.Error("a command that was not sent counts as a sign of deafness")
@@ -63,7 +63,7 @@
 	}
 }
 
-// A leader that keeps its hold while it stands still (the state service was out
+// A leader that keeps its lease while it stands still (the state service was out
 // for all) has heard nobody meanwhile. That is its own silence, not the machines':
 // nothing is given up, and the lead is kept.
 func TestStandingStillIsNoSilence(t *testing.T) {
@@ -74,7 +74,7 @@
 	var first *standin.Worker
 	for i, h := range hosts {
 		w := s.worker(h, []string{"x", "y"}[i%2], i > 2)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		if first == nil {
 			first = w
 		}
@@ -105,7 +105,7 @@
 		s.advance(time.Second)
 		s.resync(g) // no watch runs here, and a leader that reads nothing gives up
 		g.pulse()
-		beat(t, g, first)
+		heartbeat(t, g, first)
 	}
 	g.resize(t.Context())
 	if len(s.cloud.Returns()) == 0 {
--- a/store/client.go
+++ b/store/client.go
@@ -1,5 +1,5 @@
 // Package store talks to the state service: reads, guarded transactions,
-// holds and watches, each within the service's request budget.
+// leases and watches, each within the service's request budget.
 package store
 
 import (
@@ -28,8 +28,8 @@
 	ErrBusy = errors.New("too many requests")
 	// ErrUnknown means that the request may have been executed, or still may be.
 	ErrUnknown = errors.New("state service gave no answer")
-	// ErrNoHold means that a hold has ended.
-	ErrNoHold = errors.New("no such hold")
+	// ErrNoLease means that a lease has ended.
+	ErrNoLease = errors.New("no such lease")
 	// ErrMalformed means that the service would not take a transaction as it is.
 	ErrMalformed = errors.New("state service calls the transaction malformed")
 	// ErrTooOld means that a watch began too far back.
@@ -358,14 +358,14 @@
 	case http.StatusBadRequest:
 		var e wire.Error
 		if wire.Unmarshal(raw, &e) == nil && e.Error == "no such lease" {
-			return 0, ErrNoHold
+			return 0, ErrNoLease
 		}
 		return 0, fmt.Errorf("%w: %.120q", ErrMalformed, raw)
 	}
 	return 0, unexpected(status, raw)
 }
 
-// Grant asks for a hold.
+// Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, ttl clock.Micros) (uint64, error) {
 	if err := c.admit(ctx, Vital, 0); err != nil {
 		return 0, err
@@ -383,33 +383,33 @@
 	return ans.Hold, decode(raw, &ans)
 }
 
-// Renew keeps a hold; ErrNoHold tells that it has ended.
-func (c *Client) Renew(ctx context.Context, hold uint64, timeout clock.Micros) error {
+// Renew keeps a lease; ErrNoLease tells that it has ended.
+func (c *Client) Renew(ctx context.Context, lease uint64, timeout clock.Micros) error {
 	if err := c.admit(ctx, Vital, 0); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	status, raw, err := c.call(ctx, c.http, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.PathHolds, hold, wire.SuffixRenew), struct{}{})
+	status, raw, err := c.call(ctx, c.http, http.MethodPost, fmt.Sprintf("%s/%d/%s", wire.PathHolds, lease, wire.SuffixRenew), struct{}{})
 	switch {
 	case err != nil:
 		return err
 	case status == http.StatusOK:
 		return nil
 	case status == http.StatusNotFound:
-		return ErrNoHold
+		return ErrNoLease
 	}
 	return unexpected(status, raw)
 }
 
-// Drop ends a hold at once.
-func (c *Client) Drop(ctx context.Context, hold uint64) error {
+// Drop ends a lease at once.
+func (c *Client) Drop(ctx context.Context, lease uint64) error {
 	if err := c.admit(ctx, Vital, 0); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	_, _, err := c.call(ctx, c.http, http.MethodDelete, fmt.Sprintf("%s/%d", wire.PathHolds, hold), nil)
+	_, _, err := c.call(ctx, c.http, http.MethodDelete, fmt.Sprintf("%s/%d", wire.PathHolds, lease), nil)
 	return err
 }
 
--- a/swarm_test.go
+++ b/swarm_test.go
@@ -24,7 +24,7 @@
 		var ws []*standin.Worker
 		for i := range 4 {
 			w := s.worker(fmt.Sprintf("n-%d", i+1), "x", true)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			ws = append(ws, w)
 		}
 		uid := func(k int) string { return fmt.Sprintf("j-%d", k) }
@@ -42,7 +42,7 @@
 						w.End(p, wire.CauseDone)
 						ended[p] = true
 					}
-					beat(t, g, w)
+					heartbeat(t, g, w)
 				}
 				s.advance(time.Second)
 			}
@@ -97,7 +97,7 @@
 	a, b := s.node(nil), s.node(nil)
 	g, stop := s.elect(a)
 	w := s.worker("n-1", "x", true)
-	beat(t, g, w)
+	heartbeat(t, g, w)
 	for _, uid := range []string{"j-1", "j-2", "j-3"} {
 		s.submit(a, spec(uid, func(sp *wire.Spec) { sp.Cores = 2 }))
 	}
@@ -119,7 +119,7 @@
 	g.mu.Unlock()
 	w.Unreachable(false)
 	for range 3 {
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		s.settle(g)
 	}
 	if got := w.Live(); len(got) != 2 {
@@ -177,7 +177,7 @@
 		var ws []*standin.Worker
 		for i := range 16 {
 			w := s.worker(fmt.Sprintf("n-%02d", i+1), "x", true)
-			beat(t, g, w)
+			heartbeat(t, g, w)
 			ws = append(ws, w)
 		}
 		s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.RAM = "low", tasks, 0.25, 0.9 }))
@@ -198,7 +198,7 @@
 			}
 			g.step(t.Context())
 			for _, w := range ws {
-				beat(t, g, w) // takes its orders
+				heartbeat(t, g, w) // takes its orders
 			}
 			for _, w := range ws {
 				for _, p := range w.Live() {
@@ -206,7 +206,7 @@
 						w.End(p, wire.CauseDone)
 					}
 				}
-				beat(t, g, w)
+				heartbeat(t, g, w)
 			}
 			s.advance(time.Second)
 			g.mu.Lock()
@@ -254,7 +254,7 @@
 	var ws []*standin.Worker
 	for i := range 16 {
 		w := s.worker(fmt.Sprintf("n-%02d", i+1), "x", true)
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		ws = append(ws, w)
 	}
 	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Rank, sp.Pieces, sp.Cores, sp.RAM = "low", 5000, 0.05, 0.1 }))
--- a/trial.go
+++ b/trial.go
@@ -141,7 +141,7 @@
 	lasting, young := false, false
 	m.Each(func(b *fleet.Booking) {
 		if b.Live() && b.Status == wire.PieceRunning && b.Running >= s.first {
-			lasts := m.LastBeat-b.Running > lastsFor
+			lasts := m.LastHeartbeat-b.Running > lastsFor
 			lasting, young = lasting || lasts, young || !lasts
 		}
 	})
@@ -192,7 +192,7 @@
 	enough := max(lastsFor, 2*j.trial.ranFor+clock.Second)
 	for i := range j.tasks {
 		b := j.tasks[i].booking
-		if b != nil && b.Status == wire.PieceRunning && b.Running > 0 && !b.Ended && b.Machine.Beaten && b.Machine.LastBeat-b.Running > enough {
+		if b != nil && b.Status == wire.PieceRunning && b.Running > 0 && !b.Ended && b.Machine.Reported && b.Machine.LastHeartbeat-b.Running > enough {
 			return true
 		}
 	}
--- a/trial_test.go
+++ b/trial_test.go
@@ -23,19 +23,19 @@
 		for _, uid := range bad {
 			w.FailJob(uid)
 		}
-		beat(t, g, w)
+		heartbeat(t, g, w)
 		ws = append(ws, w)
 	}
 	return s, node, g, ws
 }
 
-// pass lets seconds go by, with a beat of every worker and a pass in each.
+// pass lets seconds go by, with a heartbeat of every worker and a pass in each.
 func (s *site) pass(g *term, ws []*standin.Worker, seconds int) {
 	s.t.Helper()
 	for range seconds {
 		s.advance(time.Second)
 		for _, w := range ws {
-			beat(s.t, g, w)
+			heartbeat(s.t, g, w)
 		}
 		s.settle(g)
 	}
@@ -147,7 +147,7 @@
 	for i := range 4 {
 		w := s.worker(fmt.Sprintf("n-%d", i+1), "x", true)
 		w.FailJob("j-1")
-		beat(t, ga, w)
+		heartbeat(t, ga, w)
 		ws = append(ws, w)
 	}
 	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Cores, sp.RAM = 100, 1, 1 }))
