Idle connections to workers make way for heartbeats, and are kept where there is room

Reserving more would have taken them from heartbeats at 1,300 machines. Change: idle ones have no part of their own. Up to a quarter of the sockets and a tenth of the memory stand in the part of users and workers; beyond three quarters of it they are not kept, beyond 7/8 closed, before any answer to a heartbeat asks for a close and before anybody is turned away.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
@@ -16,11 +17,33 @@
 )
 
 // Client sends direct commands to workers.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	open atomic.Int64 // connections to workers
+	// Short, if set, tells whether connections run short, so that those to workers
+	// are not kept.
+	Short func() bool
+}
+
+// NewClient makes a Client that keeps at most so many connections open when idle.
+func NewClient(idle int) *Client {
+	c := &Client{}
+	c.http = link.Counted(clock.Second, 1, idle, &c.open)
+	return c
+}
 
-// NewClient makes a Client that keeps at most conns connections open.
-func NewClient(conns int) *Client {
-	return &Client{http: link.Client(clock.Second, 1, conns)}
+// Open is how many connections to workers there are.
+func (c *Client) Open() int { return int(c.open.Load()) }
+
+// CloseIdle closes the connections to workers that are idle.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// call makes a request, over a connection that is kept if there is room for it.
+func (c *Client) call(ctx context.Context, method, url string, body any) (status int, answer []byte, err error) {
+	if c.Short != nil && c.Short() {
+		return link.CallOnce(ctx, c.http, method, url, body, maxReport)
+	}
+	return link.Call(ctx, c.http, method, url, body, maxReport)
 }
 
 // maxReport bounds a worker's answer.
@@ -29,7 +52,7 @@
 // Do sends commands and tells what has become of them; rep is the worker's
 // report, if it gave one.
 func (c *Client) Do(ctx context.Context, endpoint string, do wire.Do) (rep *wire.Beat, out fleet.Outcome, err error) {
-	status, body, err := link.Call(ctx, c.http, http.MethodPost, "http://"+endpoint+wire.PathDo, do, maxReport)
+	status, body, err := c.call(ctx, http.MethodPost, "http://"+endpoint+wire.PathDo, do)
 	if err != nil {
 		if link.NotSent(err) {
 			out = fleet.Void
@@ -57,7 +80,7 @@
 
 // Show asks a worker for its report.
 func (c *Client) Show(ctx context.Context, endpoint string) (*wire.Beat, error) {
-	status, body, err := link.Call(ctx, c.http, http.MethodGet, "http://"+endpoint+wire.PathShow, nil, maxReport)
+	status, body, err := c.call(ctx, http.MethodGet, "http://"+endpoint+wire.PathShow, nil)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", endpoint, err)
 	}
--- a/gate.go
+++ b/gate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"cedardoor/agent"
 	"cedardoor/clock"
 )
 
@@ -17,7 +18,8 @@
 // turn to another node sooner than a connection in the backlog is given up.
 type gate struct {
 	net.Listener
-	most int // connections held at most
+	most int      // connections held at most, those to workers that are idle included
+	out  outgoing // those to workers
 	ck   *clock.Clock
 	log  *slog.Logger
 
@@ -28,16 +30,43 @@
 	told clock.Micros // when the log last told of it
 }
 
-func newGate(l net.Listener, most int, ck *clock.Clock, log *slog.Logger) *gate {
-	return &gate{Listener: l, most: most, ck: ck, log: log, idle: list.New()}
+func newGate(l net.Listener, most int, out outgoing, ck *clock.Clock, log *slog.Logger) *gate {
+	return &gate{Listener: l, most: most, out: out, ck: ck, log: log, idle: list.New()}
 }
 
-// Short tells whether connections run short, so that those that can be made
-// anew at little cost should not be kept.
-func (g *gate) Short() bool {
+// outgoing are a process's own connections to workers. Those in use have their own
+// part of what a process may open; those that are idle share the gate's.
+type outgoing struct {
+	workers *agent.Client
+	own     int // that may be in use
+	few     int // idle ones that are kept until nothing else can make way
+}
+
+// idle is how many connections to workers stand in the gate's part.
+func (o outgoing) idle() int { return max(0, o.workers.Open()-o.own) }
+
+// held is how many connections of users and workers there are.
+func (g *gate) held() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.open > g.most-g.most/8
+	return g.open
+}
+
+// Short tells whether connections run short, so that those that can be made
+// anew at little cost should not be kept. Idle ones to workers go first: a worker
+// reports all the time, and is told something directly now and then.
+func (g *gate) Short() bool {
+	open, most := g.held(), g.most-g.most/8
+	if open <= most && open+g.out.idle() > most {
+		g.out.workers.CloseIdle()
+	}
+	return open > most
+}
+
+// Full tells whether connections to workers should not be kept when idle.
+func (g *gate) Full() bool {
+	idle := g.out.idle()
+	return idle > g.out.few && g.held()+idle > g.most-g.most/4
 }
 
 // Accept implements net.Listener.
@@ -60,6 +89,9 @@
 // admit takes a connection in, in an idle one's place if need be; nil when
 // there is no room.
 func (g *gate) admit(c net.Conn) *guest {
+	if idle := g.out.idle(); idle > 0 && g.held()+idle >= g.most {
+		g.out.workers.CloseIdle()
+	}
 	g.mu.Lock()
 	var out *guest
 	if g.open >= g.most {
@@ -142,7 +174,7 @@
 type sockets struct {
 	flights int // direct commands in flight
 	probes  int // questions to workers in flight
-	kept    int // idle connections to workers
+	kept    int // idle connections to workers, at most: they make way for the gate's
 	gate    int // connections of users and workers
 }
 
@@ -150,8 +182,12 @@
 // cloud's connections, the other controllers' both ways, files and the runtime's own.
 const own = 96
 
-func divide(limit int) sockets {
-	s := sockets{flights: min(96, max(8, limit/32)), probes: min(64, max(8, limit/48)), kept: max(8, limit/16)}
-	s.gate = max(8, limit-min(own, limit/4)-s.flights-s.probes-s.kept)
+// idlePerMB is how many idle connections to workers are kept for each megabyte that
+// the process may hold: one takes some 35 KB, so all of them a tenth of it.
+const idlePerMB = 3
+
+func divide(limit int, memMB float64) sockets {
+	s := sockets{flights: min(96, max(8, limit/32)), probes: min(64, max(8, limit/48)), kept: max(8, min(limit/4, int(memMB*idlePerMB)))}
+	s.gate = max(8, limit-min(own, limit/4)-s.flights-s.probes)
 	return s
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"cedardoor/clock"
@@ -27,13 +29,23 @@
 // idle ones kept in all (0: as many as that). Idle ones are not probed: they are
 // closed after a minute, and every call has its own end.
 func Client(dial clock.Micros, perHost, idle int) *http.Client {
+	return Counted(dial, perHost, idle, nil)
+}
+
+// Counted is Client for connections that a counter follows, if there is one.
+func Counted(dial clock.Micros, perHost, idle int, open *atomic.Int64) *http.Client {
 	connect := Dial
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(ctx, dial.Duration())
 				defer cancel()
-				return connect(ctx, network, addr)
+				c, err := connect(ctx, network, addr)
+				if err != nil || open == nil {
+					return c, err
+				}
+				open.Add(1)
+				return &counted{Conn: c, open: open}, nil
 			},
 			MaxConnsPerHost:     perHost,
 			MaxIdleConnsPerHost: perHost,
@@ -45,9 +57,31 @@
 	}
 }
 
+// counted is a connection that a counter follows.
+type counted struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // Call sends a MessagePack request (a nil body: none) and reads the answer, up
 // to a bound. After an error, NotSent tells whether the request cannot have arrived.
 func Call(ctx context.Context, hc *http.Client, method, url string, body any, bound int64) (status int, answer []byte, err error) {
+	return call(ctx, hc, method, url, body, bound, false)
+}
+
+// CallOnce is Call over a connection that is not kept afterwards.
+func CallOnce(ctx context.Context, hc *http.Client, method, url string, body any, bound int64) (status int, answer []byte, err error) {
+	return call(ctx, hc, method, url, body, bound, true)
+}
+
+func call(ctx context.Context, hc *http.Client, method, url string, body any, bound int64, once bool) (status int, answer []byte, err error) {
 	var payload io.Reader
 	if body != nil {
 		raw, err := wire.Marshal(body)
@@ -60,6 +94,7 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("make request: %w", err)
 	}
+	req.Close = once
 	if body != nil {
 		req.Header.Set("Content-Type", wire.ContentType)
 		// A request that may have been carried out is not repeated behind the books' back.
--- a/service.go
+++ b/service.go
@@ -64,7 +64,7 @@
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
-	s.socks = divide(f.Limits.FDLimit)
+	s.socks = divide(f.Limits.FDLimit, f.Limits.MemMB)
 	s.workers = agent.NewClient(s.socks.kept)
 	for _, o := range cfg.Others {
 		s.links[o.Node] = peer.NewLink(o.Addr)
@@ -95,7 +95,8 @@
 		front.Close()
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	gate := newGate(front, s.socks.gate, s.ck, s.log)
+	gate := newGate(front, s.socks.gate, outgoing{workers: s.workers, own: s.socks.flights + s.socks.probes, few: s.socks.kept / 4}, s.ck, s.log)
+	s.workers.Short = gate.Full
 	s.front.Post(wire.PathBeat, agent.ServeHeartbeat(s, gate.Short))
 	srv := &http.Server{Handler: s.front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
 		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), ConnState: gate.note}
