--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -269,7 +269,7 @@
 		copy *wire.Beat
 		run  func(f *Fleet, m *Machine, b *Booking)
 	}{
-		{"run in a heartbeat's answer, then shown", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+		{"run in a heartbeat's answer, then shown", rep(1, 3, 5), func(f *Fleet, m *Machine, _ *Booking) {
 			heard(f, 4)
 			f.Orders(m, 3, true, Everything)
 			f.Report(4, rep(1, 5, 5, shown(wire.PieceRunning, "")), true)
@@ -289,13 +289,13 @@
 			f.Landed(f.Launch(m, 3, 5, Everything), Open)
 			f.Stop(b, 0, 4)
 		}},
-		{"run in a /do that was answered", rep(1, 3, 5), func(f *Fleet, m *Machine, b *Booking) {
+		{"run in a /do that was answered", rep(1, 3, 5), func(f *Fleet, m *Machine, _ *Booking) {
 			heard(f, 2)
 			fl := f.Launch(m, 3, 5, Everything)
 			f.Landed(fl, Executed)
 			f.Report(4, rep(1, 4, 5, shown(wire.PieceRunning, "")), false)
 		}},
-		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, b *Booking) {
+		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, _ *Booking) {
 			f.Report(3, rep(2, 1, 5), true)
 			b2 := &Booking{Task: task0, Attempt: 2, Session: 2, Cores: 2}
 			f.Reserve(m, b2, 3)
--- a/gate_test.go
+++ b/gate_test.go
@@ -110,10 +110,10 @@
 		network := standin.NewNetwork()
 		defer network.CloseAll()
 		dialMu.Lock()
-		real := link.Dial
+		realDial := link.Dial
 		link.Dial = network.Dialer("node-1")
 		workers := agent.NewClient(8)
-		link.Dial = real
+		link.Dial = realDial
 		dialMu.Unlock()
 		const most = 16
 		in := scripted{make(chan net.Conn, most)}
--- a/internal/standin/clock.go
+++ b/internal/standin/clock.go
@@ -56,5 +56,5 @@
 }
 
 func (t *ticker) Chan() <-chan time.Time { return t.ch }
-func (t *ticker) Reset(d time.Duration)  { panic("not used") }
+func (t *ticker) Reset(time.Duration)    { panic("not used") }
 func (t *ticker) Stop()                  { t.over.Store(true); t.timer.Stop() }
--- a/model_test.go
+++ b/model_test.go
@@ -794,10 +794,10 @@
 		return
 	}
 	dialMu.Lock()
-	real := link.Dial
+	realDial := link.Dial
 	link.Dial = w.net.Dialer(from)
 	n := newService(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)), clock.New(standin.NewSteady()))
-	link.Dial = real
+	link.Dial = realDial
 	dialMu.Unlock()
 	n.front.Post(wire.PathBeat, agent.ServeHeartbeat(n, func() bool { return false }))
 	ctx, cancel := context.WithCancel(w.ctx)
@@ -824,7 +824,7 @@
 const listLag = 2 * time.Second
 
 // newWorld sets a whole platform up. It ends with ctx.
-func newWorld(t *testing.T, ctx context.Context, s schedule) *world {
+func newWorld(ctx context.Context, t *testing.T, s schedule) *world {
 	w := &world{t: t, s: s, ctx: ctx, net: standin.NewNetwork(), state: standin.NewState(standin.NewSteady()), began: time.Now(),
 		specs: map[string]wire.Spec{}, facts: map[string]*fact{}, done: map[string]bool{}, left: map[string]int{},
 		ended: map[string]chan struct{}{}, active: map[int]trouble{}, lasting: map[string]int{}, hangs: map[*standin.Machine]time.Duration{},
@@ -1440,7 +1440,7 @@
 func playOut(t *testing.T, s schedule, after func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(t, ctx, s)
+		w := newWorld(ctx, t, s)
 		w.play()
 		if after != nil {
 			after(w)
@@ -1468,7 +1468,7 @@
 		for i := range s.users {
 			s.users[i].onKind, s.users[i].cancelAt, s.users[i].onDone = "", 0, false
 		}
-		w := newWorld(t, ctx, s)
+		w := newWorld(ctx, t, s)
 		w.play()
 		for _, u := range s.users {
 			if u.spec.Shape == wire.ShapeBatch && !w.facts[u.spec.UID].done {
@@ -1503,7 +1503,7 @@
 					sp.Owner, sp.Cores, sp.ExpectS = "free", 1, 5
 					mod(sp)
 				})}}
-				w := newWorld(t, ctx, s)
+				w := newWorld(ctx, t, s)
 				w.play()
 				if left := w.waiting(true); len(left) > 0 {
 					t.Errorf("after %v: %v", s.lasts+quietTail, left)
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -22,6 +22,7 @@
 
 // Rule says whether one more task of a job may be on a machine, given the picture.
 type Rule interface {
+	// Allows tells whether one more task of j may be on m.
 	Allows(p *Picture, j *Job, m *Machine) bool
 }
 
--- a/record.go
+++ b/record.go
@@ -127,7 +127,7 @@
 	room := g.cfg.Facts.State.TxnOps / 2
 	slices.SortFunc(due, func(a, b string) int { return cmp.Or(cmp.Compare(g.lazy[a], g.lazy[b]), cmp.Compare(a, b)) })
 	for _, uid := range due {
-		if room -= 1; room < 0 || len(g.dirty) > 0 && g.lazy[uid]+g.resultsWithin() > now {
+		if room--; room < 0 || len(g.dirty) > 0 && g.lazy[uid]+g.resultsWithin() > now {
 			break
 		}
 		delete(g.lazy, uid)
@@ -404,7 +404,7 @@
 		switch {
 		case c.seq == c.saved:
 		case wr.slab != nil:
-			g.againSlab(wr.slab, now)
+			g.againSlab(wr.slab)
 		default:
 			g.again(wr.j, now)
 		}
@@ -432,7 +432,7 @@
 }
 
 // againSlab does what again does for the jobs of a shared record. The caller holds mu.
-func (g *term) againSlab(s *slab, now clock.Micros) {
+func (g *term) againSlab(s *slab) {
 	for _, j := range s.jobs {
 		switch b := j.tasks[0].booking; {
 		case j.cancelled:
@@ -541,7 +541,7 @@
 		c := wr.c
 		c.ending = append(c.ending, wr.ended...)
 		if wr.slab != nil {
-			g.againSlab(wr.slab, g.ck.Now())
+			g.againSlab(wr.slab)
 			continue
 		}
 		g.dirty[wr.j.uid] = true
--- a/trial.go
+++ b/trial.go
@@ -163,7 +163,7 @@
 	if !t.doubtful() {
 		return
 	}
-	if j.done > 0 || g.lasts(j, now) {
+	if j.done > 0 || g.lasts(j) {
 		g.works(j, now)
 		return
 	}
@@ -185,7 +185,7 @@
 
 // lasts tells whether a task of j has run on for clearly longer than those that
 // failed. The caller holds mu.
-func (g *term) lasts(j *job, now clock.Micros) bool {
+func (g *term) lasts(j *job) bool {
 	if j.running == 0 {
 		return false
 	}
