Four thousand machines on virtual time; returned names are kept by time, not by count

Need: nothing below 4,000 machines may be a fixed limit, and nothing played that size. The checks look up which machines ever took a task of a job instead of walking all of them: the same verdicts, at a cost that does not grow with the fleet. The stand-in's machine list comes in pages.

--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 type Ledger interface {
 	// Job tells what users uploaded of a job.
 	Job(uid string) (wire.Spec, bool)
+	// Accepted is told that a machine takes a task, whose image it fetches first.
+	Accepted(m *Machine, piece string)
 	// Started is told that a task is on a machine from now on.
 	Started(m *Machine, piece string)
 	// RunTime is how long a task runs; 0 when its result is kept already.
@@ -309,6 +313,7 @@
 		t.Cause = wire.CauseFull
 	default:
 		t.Status, t.due = wire.PieceFetching, time.Now().Add(300*time.Millisecond)
+		m.Ledger.Accepted(m, o.Piece)
 	}
 	m.tasks = append(m.tasks, t)
 }
@@ -645,17 +650,7 @@
 		f.changed()
 		return http.StatusOK, struct{}{}
 	case r.Method == http.MethodGet:
-		var page wire.HostPage
-		at, hosts := f.list()
-		for _, h := range hosts {
-			if h.UID > r.URL.Query().Get("since") {
-				if m := f.all[h.UID]; m.upBy(at) {
-					h.Status = wire.HostRunning
-				}
-				page.Hosts = append(page.Hosts, h)
-			}
-		}
-		return http.StatusOK, page
+		return http.StatusOK, f.page(r.URL.Query())
 	}
 	var q wire.RentRequest
 	_ = msgpack.Unmarshal(body, &q)
@@ -688,6 +683,26 @@
 	return http.StatusOK, wire.Hosts{Hosts: names}
 }
 
+// page is one page of the list. The caller holds mu.
+func (f *Fleet) page(q url.Values) (page wire.HostPage) {
+	most, _ := strconv.Atoi(q.Get("limit"))
+	at, hosts := f.list()
+	for _, h := range hosts {
+		if h.UID <= q.Get("since") {
+			continue
+		}
+		if len(page.Hosts) == most {
+			page.HasNext = true
+			break
+		}
+		if m := f.all[h.UID]; m.upBy(at) {
+			h.Status = wire.HostRunning
+		}
+		page.Hosts = append(page.Hosts, h)
+	}
+	return page
+}
+
 func (m *Machine) upBy(at time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/large_norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package cedardoor
+
+// sceneFleet is how many machines the large scene has.
+const sceneFleet = 4000
--- a/model_test.go
+++ b/model_test.go
@@ -50,6 +50,12 @@
 	commandSpan = 1500 * time.Millisecond
 )
 
+// timing is that of the workers of a schedule.
+type timing struct{ report, lease, cancel time.Duration }
+
+// modelTiming is what a schedule has that sets none.
+var modelTiming = timing{report: modelReport, lease: modelLease, cancel: modelCancel}
+
 // The kinds of trouble that a schedule may hold.
 const (
 	refuseOne   = "state refuses one node"
@@ -126,6 +132,7 @@
 	users    []submission
 
 	limits map[string]float64 // of teams beside those that every platform has; 0: none
+	timing timing             // of the workers, if not modelTiming
 	most   int                // machines that the cloud has, if not 12
 	boot   time.Duration      // how long machines boot, if not a second or two
 	slow   time.Duration      // how much longer messages take
@@ -336,8 +343,9 @@
 	hangs   map[*standin.Machine]time.Duration
 	muted   map[*standin.Machine]bool
 	faulty  map[*standin.Machine]bool
-	lines   map[*standin.Machine]*process // whom a worker has a connection to
-	first   map[string]time.Time          // when a task first began
+	lines   map[*standin.Machine]*process        // whom a worker has a connection to
+	takers  map[string]map[*standin.Machine]bool // machines that took tasks of a job
+	first   map[string]time.Time                 // when a task first began
 	history []string
 	broken  []string
 	sorry   map[string]bool // cancelled jobs whose tasks were found too late, told once
@@ -435,24 +443,19 @@
 		w.first[piece] = time.Now()
 	}
 	w.mu.Unlock()
-	used := 0.0
 	zones := map[string]int{} // of this job's tasks
-	for _, other := range w.cloud.Machines() {
-		for _, p := range other.Live() {
-			if strings.HasPrefix(p, uid+"/") {
-				zones[other.Host.Yard]++
-			}
+	for _, other := range w.holders(uid) {
+		for _, p := range liveOf(other, uid) {
+			zones[other.Host.Yard]++
 			if p == piece && other != m {
 				w.breach("ran_twice", "%s starts on %s while on %s", piece, m.Host.UID, other.Host.UID)
 			}
-			owner, _, _ := strings.Cut(p, "/")
-			if o, _ := w.Job(owner); o.Owner == sp.Owner {
-				used += o.Cores
-			}
 		}
 	}
-	if limit := w.limit(sp.Owner); limit > 0 && used > limit {
-		w.breach("quota", "%s: team uses %v of %v as %s starts", sp.Owner, used, limit, piece)
+	if limit := w.limit(sp.Owner); limit > 0 {
+		if used := w.used(sp.Owner); used > limit {
+			w.breach("quota", "%s: team uses %v of %v as %s starts", sp.Owner, used, limit, piece)
+		}
 	}
 	if sp.SamePlace && len(zones) > 1 {
 		w.breach("wrong_place", "%s starts in %s, its job is to be in one zone: %v", piece, m.Host.Yard, zones)
@@ -476,12 +479,12 @@
 	// A leader that is cut from the state service or the others can't hear of a
 	// cancel, and may answer heartbeats with the run again while its lease lasts.
 	if w.had(cutState, cutPeers, cutZone) {
-		span = max(span, modelLease)
+		span = max(span, w.s.timing.lease)
 	}
 	// A command that is held runs late, and a leader that is held apart from all
 	// that could tell it of a cancel gives commands on while its lease lasts.
 	if w.s.holds {
-		span = max(span, min(modelCancel, modelLease+commandSpan+hung+w.heldFor()))
+		span = max(span, min(w.s.timing.cancel, w.s.timing.lease+commandSpan+hung+w.heldFor()))
 	}
 	if late := time.Since(f.cancelledAt); late > span {
 		w.breach("ran_cancelled", "%s starts %v after its user was told that it is cancelled (allowed: %v)", piece, late, span)
@@ -519,7 +522,7 @@
 
 // boot plays a rented machine.
 func (w *world) boot(h wire.Host, b wire.Build) *standin.Machine {
-	m := &standin.Machine{Host: h, Build: b, Report: modelReport, Lease: modelLease, Nodes: []string{"node-1", "node-2", "node-3"},
+	m := &standin.Machine{Host: h, Build: b, Report: w.s.timing.report, Lease: w.s.timing.lease, Nodes: []string{"node-1", "node-2", "node-3"},
 		Beat: w.heartbeat, Ledger: w}
 	m.Held = func() time.Duration {
 		if x, ok := w.troubled(holdCommand); ok {
@@ -781,7 +784,7 @@
 	}
 	cfg.Facts = config.Facts{InitialSize: 3, Zones: []string{"x", "y"},
 		Teams:   []config.Team{{Name: "free"}, {Name: "tight", CPUsMax: tightLimit}},
-		Workers: config.Workers{ReportS: modelReport.Seconds(), LeaseS: modelLease.Seconds(), CancelS: modelCancel.Seconds()},
+		Workers: config.Workers{ReportS: w.s.timing.report.Seconds(), LeaseS: w.s.timing.lease.Seconds(), CancelS: w.s.timing.cancel.Seconds()},
 		State:   config.State{RPS: 2000, WriteRPS: 1000, ValueKB: 8, TxnOps: 24},
 		Cloud:   config.Cloud{RPS: 100, ListLagS: 2},
 		Limits:  config.Limits{CoreShare: 1, MemMB: 200, FDLimit: 500}}
@@ -825,10 +828,13 @@
 
 // newWorld sets a whole platform up. It ends with ctx.
 func newWorld(ctx context.Context, t *testing.T, s schedule) *world {
+	if s.timing == (timing{}) {
+		s.timing = modelTiming
+	}
 	w := &world{t: t, s: s, ctx: ctx, net: standin.NewNetwork(), state: standin.NewState(standin.NewSteady()), began: time.Now(),
 		specs: map[string]wire.Spec{}, facts: map[string]*fact{}, done: map[string]bool{}, left: map[string]int{},
 		ended: map[string]chan struct{}{}, active: map[int]trouble{}, lasting: map[string]int{}, hangs: map[*standin.Machine]time.Duration{},
-		muted: map[*standin.Machine]bool{}, faulty: map[*standin.Machine]bool{}, lines: map[*standin.Machine]*process{}, first: map[string]time.Time{}, sorry: map[string]bool{}}
+		muted: map[*standin.Machine]bool{}, faulty: map[*standin.Machine]bool{}, lines: map[*standin.Machine]*process{}, takers: map[string]map[*standin.Machine]bool{}, first: map[string]time.Time{}, sorry: map[string]bool{}}
 	for i, zone := range nodeZones {
 		w.net.Place(fmt.Sprintf("node-%d", i+1), zone)
 	}
@@ -940,24 +946,60 @@
 	for w.ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
 		w.state.Keys("lead")
-		for _, m := range w.cloud.Machines() {
-			for _, p := range m.Live() {
-				uid, _, _ := strings.Cut(p, "/")
-				w.mu.Lock()
-				f := *w.facts[uid]
-				late := f.cancelled && time.Since(f.cancelledAt) > modelCancel && !w.sorry[p]
-				if late {
+		for uid, since := range w.overdue() {
+			for _, m := range w.holders(uid) {
+				for _, p := range liveOf(m, uid) {
+					w.mu.Lock()
+					told := w.sorry[p]
 					w.sorry[p] = true
-				}
-				w.mu.Unlock()
-				if late {
-					w.breach("ran_cancelled", "%s is on %s %v after its user was told that it is cancelled", p, m.Host.UID, time.Since(f.cancelledAt))
+					w.mu.Unlock()
+					if !told {
+						w.breach("ran_cancelled", "%s is on %s %v after its user was told that it is cancelled", p, m.Host.UID, time.Since(since))
+					}
 				}
 			}
 		}
 	}
 }
 
+// overdue lists the jobs whose users were told longer than the allowed time ago that
+// they are cancelled, with when that was.
+func (w *world) overdue() map[string]time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]time.Time{}
+	for uid, f := range w.facts {
+		if f.cancelled && time.Since(f.cancelledAt) > w.s.timing.cancel {
+			out[uid] = f.cancelledAt
+		}
+	}
+	return out
+}
+
+// Accepted implements standin.Ledger.
+func (w *world) Accepted(m *standin.Machine, piece string) {
+	uid, _, _ := strings.Cut(piece, "/")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.takers[uid] == nil {
+		w.takers[uid] = map[*standin.Machine]bool{}
+	}
+	w.takers[uid][m] = true
+}
+
+// holders lists the machines that ever took a task of a job: no other can have one.
+// Those that are gone have none either.
+func (w *world) holders(uid string) []*standin.Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.takers[uid]))
+}
+
+// liveOf lists a job's tasks that are on a machine.
+func liveOf(m *standin.Machine, uid string) []string {
+	return slices.DeleteFunc(m.Live(), func(p string) bool { return !strings.HasPrefix(p, uid+"/") })
+}
+
 // leader is the place of the controller that leads, or 0.
 func (w *world) leader() int {
 	for i := range 3 {
--- a/scenes_test.go
+++ b/scenes_test.go
@@ -39,11 +39,9 @@
 // on counts the tasks of a job that are on machines, by zone.
 func (w *world) on(uid string) map[string]int {
 	zones := map[string]int{}
-	for _, m := range w.cloud.Machines() {
-		for _, p := range m.Live() {
-			if strings.HasPrefix(p, uid+"/") {
-				zones[m.Host.Yard]++
-			}
+	for _, m := range w.holders(uid) {
+		if n := len(liveOf(m, uid)); n > 0 {
+			zones[m.Host.Yard] += n
 		}
 	}
 	return zones
@@ -51,12 +49,12 @@
 
 // used is how many cores a team's tasks take.
 func (w *world) used(team string) (cores float64) {
-	for _, m := range w.cloud.Machines() {
-		for _, p := range m.Live() {
-			uid, _, _ := strings.Cut(p, "/")
-			if sp, _ := w.Job(uid); sp.Owner == team {
-				cores += sp.Cores
-			}
+	for _, u := range w.s.users {
+		if u.spec.Owner != team {
+			continue
+		}
+		for _, n := range w.on(u.spec.UID) {
+			cores += float64(n) * u.spec.Cores
 		}
 	}
 	return cores
--- a/size_test.go
+++ b/size_test.go
@@ -79,7 +79,7 @@
 		}
 		return per
 	}
-	small, large := visits(200), visits(2000)
+	small, large := visits(200), visits(largeFleet)
 	if small != large || large > 4*tasks {
 		t.Errorf("a heartbeat of the surge visits %.1f and %.1f, want the same and few", small, large)
 	}
@@ -127,7 +127,7 @@
 		return looked
 	}
 	// Each machine's lease end is looked at once a lease; beyond that, only what is lost.
-	for _, machines := range []int{300, 2000} {
+	for _, machines := range []int{300, largeFleet} {
 		if looked := visits(machines, 100); looked > machines+100*tasks {
 			t.Errorf("the loss of 100 of %d machines visits %d", machines, looked)
 		}
--- a/sizing.go
+++ b/sizing.go
@@ -127,8 +127,10 @@
 	return true
 }
 
-// maxGone bounds the names of returned machines that are remembered.
-const maxGone = 8192
+// rememberReturned is how long the names of returned machines are remembered: longer
+// than a copy of a report, or an old list, may still speak of them. How many that are
+// is bounded by what the cloud's requests can return meanwhile.
+const rememberReturned = 30 * 60 * clock.Second
 
 // readList takes the cloud's list in. It lags, so a machine is dropped only
 // when nothing can be on it and it has not reported for a while.
@@ -142,7 +144,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listed := map[string]bool{}
-	for len(g.goneList) > maxGone {
+	for len(g.goneList) > 0 && now-g.gone[g.goneList[0]] > rememberReturned {
 		delete(g.gone, g.goneList[0])
 		g.goneList = g.goneList[1:]
 	}
