--- a/api/api.go
+++ b/api/api.go
@@ -19,6 +19,7 @@
 	"cedardoor/agent"
 	"cedardoor/clock"
 	"cedardoor/config"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 
@@ -405,11 +406,11 @@
 	if team == nil {
 		return http.StatusUnprocessableEntity, "unknown team"
 	}
-	n := 1.0
+	atOnce := 1
 	if s.Shape == wire.ShapeStanding || s.Shape == wire.ShapeGroup {
-		n = float64(s.Pieces)
+		atOnce = s.Pieces
 	}
-	if team.CPUsMax > 0 && n*s.Cores > team.CPUsMax+1e-9 || team.AccelMax > 0 && n*s.Accel > team.AccelMax+1e-9 {
+	if !team.Limits().Admit(quota.NewAmount(s.Cores, s.Accel).Times(atOnce)) {
 		return http.StatusUnprocessableEntity, "more than the team's limit"
 	}
 	cat, ok := u.Catalog(ctx)
--- a/config/config.go
+++ b/config/config.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 
 	"github.com/google/jsonschema-go/jsonschema"
 )
@@ -36,6 +37,11 @@
 	AccelMax float64 `json:"gpus_max"`
 }
 
+// Limits are the team's guarantee and limit as the ledger counts them.
+func (t *Team) Limits() quota.Limits {
+	return quota.Limits{Guarantee: quota.NewAmount(t.CPUs, t.Accel), Limit: quota.NewAmount(t.CPUsMax, t.AccelMax)}
+}
+
 // Objective is one of the aims that the platform repeats.
 type Objective struct {
 	Kind    string  `json:"kind"`
--- a/engine.go
+++ b/engine.go
@@ -16,6 +16,7 @@
 	"cedardoor/fleet"
 	"cedardoor/lead"
 	"cedardoor/plan"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -132,6 +133,7 @@
 	mu       sync.Mutex // guards everything below
 	loaded   bool
 	fl       *fleet.Fleet
+	quota    *quota.Ledger // the only count of what teams use
 	jobs     map[string]*job
 	dirty    map[string]bool         // jobs with something to record now
 	lazy     map[string]clock.Micros // jobs with results to record, and by when
@@ -167,7 +169,6 @@
 	catStamp uint64
 	busy     map[string]bool // machines with a /do in flight
 	seq      uint64
-	teams    map[string]config.Team
 	repairAt clock.Micros
 	raisedAt clock.Micros
 	awake    clock.Micros // since when this process has not stood still
@@ -201,30 +202,37 @@
 
 func newTerm(s *Service, r lead.Term) *term {
 	w := s.cfg.Facts.Workers
+	ledger := quota.NewLedger(teamLimits(s.cfg.Facts.Teams))
 	g := &term{
-		cfg: s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
+		quota: ledger,
+		cfg:   s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
 		kick: make(chan struct{}, 1), awake: r.Since,
-		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Token),
+		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Token, ledger),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
-		teams: map[string]config.Team{}, pending: map[string]*hire{}, refused: map[string]clock.Micros{},
+		pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		classes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
 		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
 		calledOff: map[*job]clock.Micros{},
 		unheard:   map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
-	g.pic = &plan.Picture{Team: map[string]*plan.Quota{}, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true, Turns: plan.MostTurns}
-	for _, t := range s.cfg.Facts.Teams {
-		g.teams[t.Name] = t
-		g.pic.Team[t.Name] = &plan.Quota{CoresMax: t.CPUsMax, AccelMax: t.AccelMax, CoresMin: t.CPUs, AccelMin: t.Accel}
-	}
+	g.pic = &plan.Picture{Quota: ledger, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true, Turns: plan.MostTurns}
 	g.fl.Touched = func(m *fleet.Machine) { g.touched[m] = true }
 	g.fl.Room = g.room
 	return g
 }
 
+// teamLimits are the teams' limits by name.
+func teamLimits(teams []config.Team) map[string]quota.Limits {
+	out := make(map[string]quota.Limits, len(teams))
+	for _, t := range teams {
+		out[t.Name] = t.Limits()
+	}
+	return out
+}
+
 // room keeps the counts that the rules look at: of a job's tasks by zone and
-// machine, and of its team's use. The caller holds mu.
+// machine. The caller holds mu.
 func (g *term) room(b *fleet.Booking, zone string, sign int) {
 	j, ok := b.Tag.(*job)
 	if !ok {
@@ -234,10 +242,6 @@
 	if j.standing() {
 		g.replicas += sign
 	}
-	if q := g.pic.Team[j.spec.Owner]; q != nil {
-		q.Cores += float64(sign) * b.Cores
-		q.Accel += float64(sign) * b.Accel
-	}
 }
 
 // wait puts a task among those that wait. The caller holds mu.
@@ -492,7 +496,7 @@
 	b.Session = p.Session
 	g.fl.Adopt(m, b, now)
 	if j.cancelled {
-		b.Halt, b.HaltAt = true, now
+		g.fl.Stop(b, 0, now)
 	}
 	pc.state, pc.booking = taskPlaced, b
 }
@@ -504,7 +508,7 @@
 
 func (g *term) booking(j *job, index int, attempt uint64) *fleet.Booking {
 	s := &j.spec
-	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
+	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Team: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
 		Bundle: s.Bundle, Priority: j.priority, Loaned: s.Loaned, Stow: s.StowS, Saves: s.BookmarkS > 0, WithHeartbeat: j.unhurried()}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,12 +9,14 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"fmt"
 	"slices"
 	"sort"
 	"strconv"
 	"strings"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 	"cedardoor/wire"
 )
 
@@ -44,6 +46,7 @@
 	Attempt  uint64
 	Machine  *Machine
 	Session  uint64
+	Team     string
 	Cores    float64
 	Accel    float64
 	RAM      float64
@@ -79,8 +82,16 @@
 	off            bool // no longer in the list
 
 	Urged bool // its halt was sent directly once
+
+	reservation *quota.Reservation // of its team's limit, as long as it may exist
 }
 
+// amount is what the attempt takes of its team's limit.
+func (b *Booking) amount() quota.Amount { return quota.NewAmount(b.Cores, b.Accel) }
+
+// Reservation is the attempt's part of its team's use.
+func (b *Booking) Reservation() *quota.Reservation { return b.reservation }
+
 // Sent tells when the run was first sent; zero if never.
 func (b *Booking) Sent() clock.Micros { return b.firstSent }
 
@@ -182,6 +193,7 @@
 type Fleet struct {
 	lease      clock.Micros // lease_s stretched for drift, with a margin
 	report     clock.Micros
+	quota      *quota.Ledger // what teams use: every booking has its part of it
 	machines   map[string]*Machine
 	builds     map[string]wire.Build
 	first      uint64 // the term's first token
@@ -219,9 +231,10 @@
 // leaseMargin covers timer steps and the state service's slack in ending a lease.
 const leaseMargin = 400 * clock.Millisecond
 
-// New makes an empty Fleet for a term that began with the given token.
-func New(lease, report clock.Micros, first uint64) *Fleet {
-	return &Fleet{first: first, lease: lease.Stretch(clock.Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
+// New makes an empty Fleet for a term that began with the given token. Bookings take
+// their room from the ledger.
+func New(lease, report clock.Micros, first uint64, ledger *quota.Ledger) *Fleet {
+	return &Fleet{quota: ledger, first: first, lease: lease.Stretch(clock.Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
 		builds: map[string]wire.Build{}, heartbeats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{}}
 }
 
@@ -341,8 +354,20 @@
 	}
 }
 
-// Reserve books room for an attempt. It is not yet Recorded.
-func (f *Fleet) Reserve(m *Machine, b *Booking, now clock.Micros) {
+// Reserve books room for an attempt, unless its team has none left: no task is started
+// without a booking, and there is no booking beyond the limit. It is not yet Recorded.
+func (f *Fleet) Reserve(m *Machine, b *Booking, now clock.Micros) error {
+	reservation, err := f.quota.Reserve(b.Team, b.amount())
+	if err != nil {
+		return fmt.Errorf("book %s: %w", b.Task, err)
+	}
+	f.book(m, b, reservation, now)
+	return nil
+}
+
+// book puts an attempt on the machine's books.
+func (f *Fleet) book(m *Machine, b *Booking, reservation *quota.Reservation, now clock.Micros) {
+	b.reservation = reservation
 	b.Machine = m
 	b.Since = now
 	b.place, b.off = len(m.list), false
@@ -362,7 +387,7 @@
 // term's may still be on its way in a /do, so absence proves nothing until
 // the worker has seen this term's.
 func (f *Fleet) Adopt(m *Machine, b *Booking, now clock.Micros) {
-	f.Reserve(m, b, now)
+	f.book(m, b, f.quota.Adopt(b.Team, b.amount()), now)
 	b.Recorded, b.Adopted = true, true
 	f.setDoubt(b, f.first-1, true)
 	m.mixed = m.mixed || m.Session > 0 && m.Session != b.Session
@@ -370,6 +395,12 @@
 	b.firstSent = now
 }
 
+// Confirm notes that an attempt is durable: its run may be sent.
+func (f *Fleet) Confirm(b *Booking) {
+	b.Recorded = true
+	b.reservation.Confirm()
+}
+
 // setDoubt notes up to which token a run of b may still arrive at its worker,
 // for the first time (open) or once more; zero when none can.
 func (f *Fleet) setDoubt(b *Booking, token uint64, open bool) {
@@ -417,6 +448,7 @@
 		return
 	}
 	b.Ended = true
+	b.reservation.Release()
 	m := b.Machine
 	m.UsedCores = max(0, m.UsedCores-b.Cores)
 	m.UsedAccel = max(0, m.UsedAccel-b.Accel)
@@ -542,6 +574,9 @@
 			f.Obeyed(m)
 		}
 		b.Status = p.Status
+		if p.Status != wire.PieceEnded {
+			b.reservation.Shown()
+		}
 		if p.Status == wire.PieceRunning && !m.Images[b.Bundle] {
 			m.Images[b.Bundle] = true
 			f.touch(m)
@@ -651,6 +686,11 @@
 	m.Mute = 0
 	if m.Hushed {
 		m.Hushed = false
+		m.Each(func(b *Booking) {
+			if b.Status != "" {
+				b.reservation.Shown()
+			}
+		})
 		f.touch(m)
 	}
 	m.LastHeartbeat = now
@@ -691,7 +731,10 @@
 		m.Reported = m.Reported && rep.Warrant >= f.first
 		m.LeaseEnd = max(m.LeaseEnd, now+f.lease)
 		// What is in doubt may yet be started by the new process, under its session.
-		m.Each(func(b *Booking) { b.Session, b.Status = rep.Tenure, "" })
+		m.Each(func(b *Booking) {
+			b.Session, b.Status = rep.Tenure, ""
+			b.reservation.Doubt()
+		})
 		f.touch(m)
 	}
 	more, _ := f.Report(now, rep, false)
@@ -729,6 +772,17 @@
 	return silent
 }
 
+// Silence notes that a machine has fallen silent: nothing is placed on it, and what is
+// on it may be gone.
+func (f *Fleet) Silence(m *Machine) {
+	if m.Hushed {
+		return
+	}
+	m.Hushed = true
+	m.Each(func(b *Booking) { b.reservation.Doubt() })
+	f.touch(m)
+}
+
 // dropSessions frees what was booked in sessions before the given one.
 func (f *Fleet) dropSessions(m *Machine, session uint64, now clock.Micros) (news []News) {
 	m.Each(func(b *Booking) {
@@ -913,6 +967,7 @@
 	}
 	if !b.Halt {
 		b.Halt, b.HaltAt, b.Leeway = true, now, leeway
+		b.reservation.Stop()
 		b.Machine.steady = false
 		f.touch(b.Machine)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 	"cedardoor/wire"
 )
 
@@ -15,6 +17,14 @@
 
 var task0 = TaskID{Job: "j-1", Index: 0}
 
+// reserve books an attempt of a team without limits.
+func reserve(t testing.TB, f *Fleet, m *Machine, b *Booking, now clock.Micros) {
+	t.Helper()
+	if err := f.Reserve(m, b, now); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func rep(session, tally, token uint64, pieces ...wire.PieceReport) *wire.Beat {
 	return &wire.Beat{Host: "n-1", Endpoint: "e", Build: "b", Yard: "x", Tenure: session, Tally: tally, Warrant: token, Pieces: pieces}
 }
@@ -26,13 +36,13 @@
 // booked is a fleet with one machine that has reported, and one recorded booking.
 func booked(t *testing.T) (*Fleet, *Machine, *Booking) {
 	t.Helper()
-	f := New(lease, report, 5)
+	f := New(lease, report, 5, quota.NewLedger(nil))
 	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
 	f.Report(1, rep(1, 1, 0), true)
 	m := f.Machine("n-1")
 	f.Answered(m, 1, 5)
 	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2, RAM: 4}
-	f.Reserve(m, b, 1)
+	reserve(t, f, m, b, 1)
 	b.Recorded = true
 	return f, m, b
 }
@@ -117,7 +127,7 @@
 			t.Fatalf("presses after %d results", i)
 		}
 		b := &Booking{Task: TaskID{Job: "j-2", Index: i}, Attempt: 1, Session: 1}
-		f.Reserve(m, b, 2)
+		reserve(t, f, m, b, 2)
 		f.release(b, 3)
 	}
 	if !f.Crowded() || f.Crowded() {
@@ -131,7 +141,7 @@
 	const n = 3 * maxOrders / 2
 	for i := range n {
 		b := &Booking{Task: TaskID{Job: "j-123456789", Index: 10000 + i}, Attempt: 123456, Session: 1, Cores: 0.001}
-		f.Reserve(m, b, 2)
+		reserve(t, f, m, b, 2)
 		b.Recorded = true
 	}
 	seen := 0
@@ -217,7 +227,7 @@
 // An adopted attempt that the worker never got is run again where it was
 // recorded, not elsewhere.
 func TestAdoptedRunIsRepeated(t *testing.T) {
-	f := New(lease, report, 5)
+	f := New(lease, report, 5, quota.NewLedger(nil))
 	m := f.Ensure("n-1", 1)
 	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2}
 	f.Adopt(m, b, 1)
@@ -235,7 +245,7 @@
 func TestAdoptedAttemptsOfTwoSessions(t *testing.T) {
 	for name, sessions := range map[string][]uint64{"earlier first": {1, 2}, "later first": {2, 1}, "reported before": {1}} {
 		t.Run(name, func(t *testing.T) {
-			f := New(lease, report, 5)
+			f := New(lease, report, 5, quota.NewLedger(nil))
 			m := f.Ensure("n-1", 1)
 			if len(sessions) == 1 {
 				f.Report(1, rep(2, 6, 4), true)
@@ -298,7 +308,7 @@
 		{"an older session", rep(1, 9, 5), func(f *Fleet, m *Machine, _ *Booking) {
 			f.Report(3, rep(2, 1, 5), true)
 			b2 := &Booking{Task: task0, Attempt: 2, Session: 2, Cores: 2}
-			f.Reserve(m, b2, 3)
+			reserve(t, f, m, b2, 3)
 			b2.Recorded = true
 			f.Orders(m, 3, true, Everything)
 		}},
@@ -319,7 +329,7 @@
 // A new leader's first report of a machine may be a copy from before its term:
 // it frees nothing that the record holds and does not make the machine trusted.
 func TestCopyAtNewLeader(t *testing.T) {
-	f := New(lease, report, 5)
+	f := New(lease, report, 5, quota.NewLedger(nil))
 	f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 8, RAM: 32}}})
 	m := f.Ensure("n-1", 1)
 	b := &Booking{Task: task0, Attempt: 1, Session: 1, Cores: 2}
@@ -366,10 +376,10 @@
 	f.Report(2, rep(3, 40, 5), true)
 	sure := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 3, Cores: 1}
 	doubtful := &Booking{Task: TaskID{Job: "j-3"}, Attempt: 1, Session: 3, Cores: 1}
-	f.Reserve(m, sure, 3)
+	reserve(t, f, m, sure, 3)
 	sure.Recorded = true
 	f.Orders(m, 3, true, Everything)
-	f.Reserve(m, doubtful, 3)
+	reserve(t, f, m, doubtful, 3)
 	doubtful.Recorded = true
 	f.Landed(f.Launch(m, 3, 5, Everything), Open)
 	f.setDoubt(sure, 0, false)
@@ -419,7 +429,7 @@
 			f.Report(2, rep(tt.session, tt.tally, 5), true)
 			f.Answers(3, m.Mark(), rep(1, 2, 5))
 			b := &Booking{Task: TaskID{Job: "j-2"}, Attempt: 1, Session: 1, Cores: 1, WithHeartbeat: true}
-			f.Reserve(m, b, 4)
+			reserve(t, f, m, b, 4)
 			b.Recorded = true
 			if fl := f.Launch(m, 4, 5, Everything); fl == nil || !fl.Runs() {
 				t.Fatal("its run waits for a heartbeat that may not be believed")
@@ -479,7 +489,7 @@
 // news costs a look-up however much runs on the machine.
 func TestWorkOfReports(t *testing.T) {
 	visits := func(machines, tasks int) (plain, expiry int) {
-		f := New(lease, report, 5)
+		f := New(lease, report, 5, quota.NewLedger(nil))
 		f.SetCatalog(wire.Catalog{Builds: []wire.Build{{SKU: "b", Cores: 1000, RAM: 4000}}})
 		var list []wire.PieceReport
 		for i := range machines {
@@ -487,7 +497,7 @@
 			f.Report(1, &wire.Beat{Host: name, Endpoint: "e", Build: "b", Yard: "x", Tenure: 1, Tally: 1, Warrant: 5}, true)
 			for k := range tasks {
 				b := &Booking{Task: TaskID{Job: "j-1", Index: i*tasks + k}, Attempt: 1, Session: 1, Cores: 1}
-				f.Reserve(f.Machine(name), b, 1)
+				reserve(t, f, f.Machine(name), b, 1)
 				b.Recorded = true
 				if i == 0 {
 					list = append(list, wire.PieceReport{Piece: b.Task.String(), Try: 1, Status: wire.PieceRunning})
@@ -551,3 +561,39 @@
 		t.Error("not deaf though commands fail while its reports come")
 	}
 }
+
+// There is no booking, and so no run, beyond a team's limit: a booking takes its room
+// from the ledger and gives it back when it is proved gone, once.
+func TestNoBookingBeyondTheLimit(t *testing.T) {
+	ledger := quota.NewLedger(map[string]quota.Limits{"team": {Limit: quota.NewAmount(4, 0)}})
+	f := New(lease, report, 5, ledger)
+	m := f.Ensure("n-1", 0)
+	attempt := func(index int) *Booking {
+		return &Booking{Task: TaskID{Job: "j-1", Index: index}, Attempt: 1, Session: 1, Team: "team", Cores: 2}
+	}
+	first, second := attempt(0), attempt(1)
+	reserve(t, f, m, first, 1)
+	f.Adopt(m, second, 1)
+	if err := f.Reserve(m, attempt(2), 1); !errors.Is(err, quota.ErrOverLimit) {
+		t.Fatalf("a third task of 2 cores under a limit of 4: %v", err)
+	}
+	if m.Bookings() != 2 {
+		t.Fatalf("%d bookings, want 2", m.Bookings())
+	}
+	f.Confirm(first)
+	if got := first.Reservation().State(); got != quota.InDoubt {
+		t.Errorf("recorded and not shown: %v", got)
+	}
+	f.Stop(second, 0, 2) // cancelled, and may run yet
+	if got := ledger.Usage("team").Of(quota.Stopping).Tasks; got != 1 {
+		t.Errorf("%d tasks are stopping, want 1", got)
+	}
+	if err := f.Reserve(m, attempt(3), 2); !errors.Is(err, quota.ErrOverLimit) {
+		t.Fatalf("before the stopped task is proved gone: %v", err)
+	}
+	f.Expire(m.LeaseEnd + 1)
+	f.Remove(second, m.LeaseEnd+2) // proved gone a second time
+	if got := ledger.Usage("team").Total; got != (quota.Amount{}) {
+		t.Errorf("all is proved gone, and %+v is in use", got)
+	}
+}
--- a/picture.go
+++ b/picture.go
@@ -8,6 +8,7 @@
 	"cedardoor/clock"
 	"cedardoor/fleet"
 	"cedardoor/plan"
+	"cedardoor/quota"
 )
 
 // usable tells whether a machine may be given tasks.
@@ -90,6 +91,7 @@
 	again = m.FailingUntil > now // looked at again when that is over
 	pm.StopCores, pm.StopAccel, pm.StopRAM = 0, 0, 0
 	pm.Lower = pm.Lower[:0]
+	guarantees := g.quota.Guarantees()
 	m.Each(func(b *fleet.Booking) {
 		if !b.Live() {
 			return
@@ -105,20 +107,31 @@
 			return
 		}
 		j, ok := b.Tag.(*job)
-		if !ok || j.standing() || j.group() || j.cancelled || j.spared && len(j.tasks)-j.done-len(j.waiting) <= plan.AgedTasks || j.tasks[b.Task.Index].booking != b {
+		if !ok || j.standing() && !guarantees || j.group() || j.cancelled || j.spared && len(j.tasks)-j.done-len(j.waiting) <= plan.AgedTasks || j.tasks[b.Task.Index].booking != b {
 			return
 		}
 		pm.Lower = append(pm.Lower, plan.Victim{Task: plan.TaskID{Job: j.uid, Index: b.Task.Index}, Job: j.pj, Priority: j.priority,
-			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running})
+			Cores: b.Cores, Accel: b.Accel, RAM: b.RAM, Since: b.Running, Replica: j.standing()})
 	})
 	slices.SortStableFunc(pm.Lower, func(a, b plan.Victim) int {
-		// Least progress first: not begun, then begun last.
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
+		// Least progress first: not begun, then begun last. Replicas come after all else.
+		return cmp.Or(compareBool(a.Replica, b.Replica), cmp.Compare(a.Priority, b.Priority), cmp.Compare(zeroLast(b.Since), zeroLast(a.Since)))
 	})
 	g.pic.Put(pm)
 	return again
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func zeroLast(t clock.Micros) clock.Micros {
 	if t == 0 {
 		return 1 << 62
@@ -238,30 +251,31 @@
 // entitle marks the jobs that fit into their team's guarantee together with
 // the team's earlier ones, where there are guarantees at all, once a second.
 func (g *term) entitle(now clock.Micros) {
-	some := false
-	for _, t := range g.teams {
-		some = some || t.CPUs > 0 || t.Accel > 0
-	}
-	if !some || now-g.entitled < clock.Second && !g.fresh {
+	if !g.quota.Guarantees() || now-g.entitled < clock.Second && !g.fresh {
 		return
 	}
 	g.entitled = now
-	type used struct{ cores, accel float64 }
-	sum := map[string]used{}
+	var jobs []*job
+	var demands []quota.Demand
 	for _, j := range g.sortedJobs() {
-		t := g.teams[j.spec.Owner]
-		if j.cancelled || t.CPUs == 0 && t.Accel == 0 {
+		if j.cancelled {
 			continue
 		}
-		u := sum[j.spec.Owner]
-		n := float64(len(j.tasks) - j.done)
-		u.cores += n * j.spec.Cores
-		u.accel += n * j.spec.Accel
-		sum[j.spec.Owner] = u
-		j.pj.Entitled = u.cores <= t.CPUs+1e-6 && u.accel <= t.Accel+1e-6
+		jobs = append(jobs, j)
+		demands = append(demands, quota.Demand{Team: j.spec.Owner, Amount: j.task().Times(len(j.tasks) - j.done)})
+	}
+	for i, entitled := range g.quota.Entitled(demands) {
+		jobs[i].pj.Entitled = entitled
 	}
 }
 
+// task is what one task of the job takes of its team's limit.
+func (j *job) task() quota.Amount { return quota.NewAmount(j.spec.Cores, j.spec.Accel) }
+
+// mayGrow tells whether the job's team may use as much more as a task of it takes. The
+// caller holds mu.
+func (g *term) mayGrow(j *job) bool { return g.quota.Fits(j.spec.Owner, j.task()) }
+
 // settled is how long a replica is left alone after its start: a start that is
 // undone within half a minute is none to its users.
 const settled = 40 * clock.Second
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -16,6 +16,7 @@
 	"sort"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 	"cedardoor/wire"
 )
 
@@ -58,10 +59,14 @@
 	Since             clock.Micros // running since; zero when it has not begun
 	Job               *Job         // to tell whether its team is beyond its guarantee; may be nil
 	Borrowed          bool         // its team is beyond its guarantee
+	Replica           bool         // of a service
 
 	taken bool
 }
 
+// amount is what the task takes of its team's limit.
+func (v *Victim) amount() quota.Amount { return quota.NewAmount(v.Cores, v.Accel) }
+
 // TaskID names a task.
 type TaskID struct {
 	Job   string
@@ -121,7 +126,7 @@
 	Machines   []*Machine
 	Waiting    []Waiting
 	Candidates []Candidate
-	Team       map[string]*Quota
+	Quota      *quota.Ledger // what teams use, and may use; nil: no limits
 	MoveCap    int
 	Sample     int
 	Seed       uint64
@@ -135,6 +140,7 @@
 	AvoidStruck bool
 
 	index *index
+	draft *quota.Draft // the ledger with the plan's steps, while one is being made
 }
 
 // Placement puts a task on a machine.
@@ -176,21 +182,28 @@
 	undo   []func()
 	copies []*Machine    // machines changed by the plan
 	kept   map[*Job]bool // jobs for which this plan keeps a machine's room
-	// stopping is what the plan stops of each team.
-	stopping map[string]Quota
 }
 
-// Make plans one round: first the launches of services, then the repair moves,
-// if the picture has candidates, then the other launches.
+// amount is what one task of the job takes of its team's limit.
+func (j *Job) amount() quota.Amount { return quota.NewAmount(j.Cores, j.Accel) }
+
+// Make plans one round: first what teams are guaranteed, then the launches of
+// services, then the repair moves, if the picture has candidates, then the other
+// launches.
 func Make(p *Picture) Result {
 	if p.index == nil {
 		p.reindex()
 	}
-	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1)), stopping: map[string]Quota{}}
+	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
+	p.draft = p.Quota.Draft()
 	pl.out.Unplaced = map[string]int{}
-	pl.launch(true)
+	entitled, services, others := pl.groups()
+	if len(entitled) > 0 {
+		pl.launch(entitled)
+	}
+	pl.launch(services)
 	pl.repair()
-	pl.launch(false)
+	pl.out.Turns = pl.launch(others)
 	pl.restore()
 	return pl.out
 }
@@ -229,15 +242,26 @@
 // until it has waited long itself.
 const AgedTasks = 1
 
-// launch places waiting tasks: services before the repair, so that replacing a
-// lost replica never waits behind a move, the rest after it.
-func (pl *planner) launch(standing bool) {
-	var list []*Waiting
+// groups divides what waits by when it is placed. What is within a team's guarantee
+// goes first, whatever its priority: it need not wait for other teams, and what it has
+// preempted would else be placed again before it. Services go before the repair, so
+// that replacing a lost replica never waits behind a move, the rest after it.
+func (pl *planner) groups() (entitled, services, others []*Waiting) {
 	for i := range pl.Waiting {
-		if w := &pl.Waiting[i]; w.Job.Standing == standing {
-			list = append(list, w)
+		switch w := &pl.Waiting[i]; {
+		case w.Job.Entitled:
+			entitled = append(entitled, w)
+		case w.Job.Standing:
+			services = append(services, w)
+		default:
+			others = append(others, w)
 		}
 	}
+	return entitled, services, others
+}
+
+// launch places waiting tasks, and gives the turns that are left of the picture's.
+func (pl *planner) launch(list []*Waiting) (left int) {
 	sort.SliceStable(list, func(i, j int) bool { return order(list[i], list[j]) })
 	// A job that has waited long without any task begun goes before those of
 	// higher priority with its first task, so that none waits for ever. Its next ones
@@ -284,9 +308,7 @@
 			turns.left += placed
 		}
 	}
-	if !standing {
-		pl.out.Turns = max(0, min(turns.left, MostTurns))
-	}
+	return max(0, min(turns.left, MostTurns))
 }
 
 // first tells whether a job's first task may go before work of higher priority.
@@ -529,7 +551,7 @@
 	m.RAM += j.RAM
 	pl.index.put(m)
 	pl.count(j, m.Zone, m.Name, -1)
-	pl.use(j, -1)
+	pl.draft.Remove(j.Team, j.amount())
 }
 
 // fits counts how many tasks of a job a zone can take, up to want.
@@ -709,6 +731,7 @@
 
 // restore leaves the picture as it was found.
 func (pl *planner) restore() {
+	pl.draft = nil
 	for i := len(pl.undo) - 1; i >= 0; i-- {
 		pl.undo[i]()
 	}
@@ -751,25 +774,13 @@
 	}
 }
 
-// use adds a task to its team's use, or takes it off.
-func (pl *planner) use(j *Job, sign float64) {
-	q := pl.Team[j.Team]
-	if q == nil {
-		return
-	}
-	cores, accel := q.Cores, q.Accel
-	pl.undo = append(pl.undo, func() { q.Cores, q.Accel = cores, accel })
-	q.Cores += sign * j.Cores
-	q.Accel += sign * j.Accel
-}
-
 func (pl *planner) book(j *Job, m *Machine) {
 	pl.save(m)
 	m.Cores -= j.Cores
 	m.Accel -= j.Accel
 	m.RAM -= j.RAM
 	pl.index.put(m)
-	pl.use(j, 1)
+	pl.draft.Add(j.Team, j.amount())
 	pl.count(j, m.Zone, m.Name, 1)
 }
 
@@ -805,7 +816,7 @@
 				break
 			}
 			v := &m.Lower[i]
-			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !(v.Priority < j.Priority || j.Entitled && pl.borrowed(v)) {
+			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !pl.mayStop(j, v) {
 				continue
 			}
 			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
@@ -828,9 +839,7 @@
 		best.StopRAM += v.RAM
 		pl.out.Preempt = append(pl.out.Preempt, v.Task)
 		if v.Job != nil {
-			s := pl.stopping[v.Job.Team]
-			s.Cores, s.Accel = s.Cores+v.Cores, s.Accel+v.Accel
-			pl.stopping[v.Job.Team] = s
+			pl.draft.Stop(v.Job.Team, v.amount())
 		}
 	}
 	// The claim goes against the room on its way first, so that free room that
@@ -839,23 +848,32 @@
 	claim(&best.StopAccel, &best.Accel, j.Accel)
 	claim(&best.StopRAM, &best.RAM, j.RAM)
 	pl.index.put(best)
-	pl.use(j, 1)
+	pl.draft.Add(j.Team, j.amount())
 	pl.count(j, best.Zone, "", 1)
 	return true
 }
 
+// mayStop tells whether a task may be stopped to make room for one of j. Work within
+// its team's guarantee makes way only for such work of higher priority, or either
+// would take the other's place in turn. A replica makes way only for a guarantee.
+func (pl *planner) mayStop(j *Job, v *Victim) bool {
+	others := v.Job != nil && v.Job.Team != j.Team
+	switch {
+	case v.Replica:
+		return others && j.Entitled && pl.borrowed(v)
+	case others && v.Job.Entitled && !j.Entitled:
+		return false
+	}
+	return v.Priority < j.Priority || j.Entitled && pl.borrowed(v)
+}
+
 // borrowed tells whether a task runs beyond its team's guarantee: all that a team
 // without one runs does. What is being stopped of a team counts no more.
 func (pl *planner) borrowed(v *Victim) bool {
 	if v.Borrowed || v.Job == nil || v.Job.Entitled {
 		return v.Borrowed
 	}
-	q := pl.Team[v.Job.Team]
-	if q == nil {
-		return false
-	}
-	s := pl.stopping[v.Job.Team]
-	return q.Cores-s.Cores > q.CoresMin+slop || v.Accel > 0 && q.Accel-s.Accel > q.AccelMin+slop
+	return pl.draft.Borrows(v.Job.Team, v.amount())
 }
 
 func claim(coming, free *float64, want float64) {
@@ -889,7 +907,7 @@
 		}
 		// The rules count the task itself at its source; a move takes it away there.
 		pl.count(c.Job, from.Zone, from.Name, -1)
-		pl.use(c.Job, -1)
+		pl.draft.Remove(c.Job.Team, c.Job.amount())
 		var m *Machine
 		switch {
 		case pl.stays(c, from):
@@ -902,7 +920,7 @@
 		// against the zone cap and the limit in both places.
 		if m == nil || c.Reason == ReasonSpread && c.Job.Machines[m.Name] > 0 || c.Reason != ReasonBan && c.Job.Bundle != "" && m.Images[c.Job.Bundle] != ImageHeld {
 			pl.count(c.Job, from.Zone, from.Name, 1)
-			pl.use(c.Job, 1)
+			pl.draft.Add(c.Job.Team, c.Job.amount())
 			if c.Reason != ReasonDrain {
 				pl.out.Violations++
 			}
@@ -910,7 +928,7 @@
 		}
 		pl.book(c.Job, m)
 		pl.count(c.Job, from.Zone, from.Name, 1)
-		pl.use(c.Job, 1)
+		pl.draft.Add(c.Job.Team, c.Job.amount())
 		pl.save(from)
 		from.leaving++
 		moves = append(moves, chosen{c, m})
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 	"cedardoor/wire"
 
 	gocmp "github.com/google/go-cmp/cmp"
@@ -112,6 +113,13 @@
 	}
 }
 
+// used is a ledger in which the team of newJob has the limits and uses so much.
+func used(limits quota.Limits, cores, accelerators float64) *quota.Ledger {
+	ledger := quota.NewLedger(map[string]quota.Limits{"t": limits})
+	ledger.Adopt("t", quota.NewAmount(cores, accelerators))
+	return ledger
+}
+
 func TestRules(t *testing.T) {
 	tests := []struct {
 		name string
@@ -130,15 +138,15 @@
 		{"zone cap not reached", func(j *Job, _ *Machine, _ *Picture) { j.Apart, j.Tasks, j.Zones["x"] = true, 4, 1 }, true},
 		{"one zone, elsewhere", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["y"] = true, 1 }, false},
 		{"one zone, here", func(j *Job, _ *Machine, _ *Picture) { j.SamePlace, j.Zones["x"] = true, 1 }, true},
-		{"limit", func(_ *Job, _ *Machine, p *Picture) { p.Team["t"] = &Quota{CoresMax: 3, Cores: 2} }, false},
+		{"limit", func(_ *Job, _ *Machine, p *Picture) { p.Quota = used(quota.Limits{Limit: quota.NewAmount(3, 0)}, 2, 0) }, false},
 		{"accelerator limit", func(j *Job, m *Machine, p *Picture) {
-			j.Accel, m.Accel, p.Team["t"] = 1, 4, &Quota{AccelMax: 2, Accel: 2}
+			j.Accel, m.Accel, p.Quota = 1, 4, used(quota.Limits{Limit: quota.NewAmount(0, 2)}, 0, 2)
 		}, false},
 		{"memory", func(j *Job, _ *Machine, _ *Picture) { j.RAM = 33 }, false},
 	}
 	for _, tt := range tests {
 		j, m := newJob("j-1", 1, 2, 4), machine("a", "x", 8, 32)
-		p := &Picture{Machines: []*Machine{m}, Team: map[string]*Quota{"t": {}}}
+		p := &Picture{Machines: []*Machine{m}, Quota: used(quota.Limits{}, 0, 0)}
 		tt.mod(j, m, p)
 		p.Waiting = []Waiting{{Job: j, Indexes: indexes(1)}}
 		if got := len(Make(p).Launch) == 1; got != tt.want {
@@ -271,14 +279,72 @@
 		}
 		own := newJob("j-2", 2, 8, 8)
 		own.Entitled = tt.entitled
-		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(2)}},
-			Team: map[string]*Quota{"guest": {Cores: tt.use, CoresMin: tt.min}, "t": {CoresMin: 16}}})
+		ledger := quota.NewLedger(map[string]quota.Limits{"guest": {Guarantee: quota.NewAmount(tt.min, 0)}, "t": {Guarantee: quota.NewAmount(16, 0)}})
+		ledger.Adopt("guest", quota.NewAmount(tt.use, 0))
+		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(2)}}, Quota: ledger})
 		if len(res.Preempt) != tt.want {
 			t.Errorf("%s: %d tasks stopped, want %d", tt.name, len(res.Preempt), tt.want)
 		}
 	}
 }
 
+// What is within its team's guarantee is placed before work of any priority that is
+// beyond another team's: that would else take the room which it has just been stopped for.
+func TestGuaranteeGoesBeforePriority(t *testing.T) {
+	own := newJob("j-1", 1, 8, 8)
+	own.Entitled, own.Priority = true, wire.RankLow
+	guest := newJob("j-2", 1, 8, 8)
+	guest.Team, guest.Priority = "guest", wire.RankCritical
+	service := newJob("j-3", 1, 8, 8)
+	service.Team, service.Priority, service.Standing = "guest", wire.RankCritical, true
+	m := machine("a", "x", 8, 8)
+	m.Held = "j-2" // not even room that is kept for the other
+	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{
+		{Job: guest, Indexes: indexes(1)}, {Job: service, Indexes: indexes(1)}, {Job: own, Indexes: indexes(1)}}})
+	if diff := gocmp.Diff([]Placement{{TaskID{"j-1", 0}, "a"}}, res.Launch); diff != "" {
+		t.Error(diff)
+	}
+	if len(res.Preempt) > 0 {
+		t.Errorf("stopped %v though there is room", res.Preempt)
+	}
+}
+
+// Who makes way: work within its team's guarantee only for such work of higher
+// priority, a replica only for another team's guarantee.
+func TestWhoMakesWay(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		entitled bool // the job that waits
+		priority wire.Rank
+		victim   Victim
+		within   bool // the victim's job is within its guarantee
+		want     bool
+	}{
+		{"lower priority", false, wire.RankHigh, Victim{Priority: wire.RankLow}, false, true},
+		{"lower priority, within its guarantee", false, wire.RankHigh, Victim{Priority: wire.RankLow}, true, false},
+		{"both within their guarantees, lower priority", true, wire.RankHigh, Victim{Priority: wire.RankLow}, true, true},
+		{"both within their guarantees, the same priority", true, wire.RankHigh, Victim{Priority: wire.RankHigh}, true, false},
+		{"higher priority, beyond its guarantee", true, wire.RankLow, Victim{Priority: wire.RankHigh}, false, true},
+		{"a replica for lower priority's sake", false, wire.RankCritical, Victim{Priority: wire.RankLow, Replica: true}, false, false},
+		{"a replica beyond its guarantee", true, wire.RankLow, Victim{Priority: wire.RankCritical, Replica: true}, false, true},
+		{"a replica within its guarantee", true, wire.RankCritical, Victim{Priority: wire.RankLow, Replica: true}, true, false},
+	} {
+		guest := newJob("j-1", 1, 8, 8)
+		guest.Team, guest.Entitled = "guest", tt.within
+		tt.victim.Task, tt.victim.Job, tt.victim.Cores, tt.victim.RAM, tt.victim.Since = TaskID{"j-1", 0}, guest, 8, 8, 50
+		m := machine("a", "x", 0, 0)
+		m.Lower = []Victim{tt.victim}
+		own := newJob("j-2", 1, 8, 8)
+		own.Entitled, own.Priority = tt.entitled, tt.priority
+		ledger := quota.NewLedger(map[string]quota.Limits{"guest": {}, "t": {Guarantee: quota.NewAmount(8, 0)}})
+		ledger.Adopt("guest", quota.NewAmount(8, 0))
+		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(1)}}, Quota: ledger})
+		if got := len(res.Preempt) == 1; got != tt.want {
+			t.Errorf("%s: stopped %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
 // Small tasks of a job go to a machine in blocks, so that few machines report
 // often; large ones are spread as ever.
 func TestManyAlikeShareMachines(t *testing.T) {
@@ -304,7 +370,8 @@
 func TestPlanProperties(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 7))
-		p := &Picture{Team: map[string]*Quota{"t": {CoresMax: float64(r.IntN(60))}, "u": {}}, MoveCap: 4, Sample: 5, Seed: seed, Preempt: r.IntN(2) == 0}
+		limit := float64(r.IntN(60))
+		p := &Picture{Quota: quota.NewLedger(map[string]quota.Limits{"t": {Limit: quota.NewAmount(limit, 0)}, "u": {}}), MoveCap: 4, Sample: 5, Seed: seed, Preempt: r.IntN(2) == 0}
 		free := map[string][2]float64{}
 		zone := map[string]string{}
 		barred := map[string]bool{}
@@ -339,7 +406,7 @@
 				j.Machines[m.Name]++
 				count[j.UID][m.Zone]++
 				used[j.Team] += j.Cores
-				p.Team[j.Team].Cores += j.Cores
+				p.Quota.Adopt(j.Team, j.amount())
 				p.Candidates = append(p.Candidates, Candidate{Job: j, Index: 0, Machine: m.Name, Reason: ReasonBan})
 				from = 1
 			}
@@ -351,7 +418,7 @@
 				p.Waiting = append(p.Waiting, Waiting{Job: j, Indexes: idx})
 			}
 		}
-		over := p.Team["t"].Cores > p.Team["t"].CoresMax
+		over := used["t"] > limit
 		res := Make(p)
 		type add struct{ job, machine string }
 		var adds []add
@@ -384,8 +451,8 @@
 			if j.Apart && count[a.job][zone[a.machine]] > (j.Tasks+1)/2 {
 				t.Fatalf("seed %d: %s beyond its zone cap", seed, a.job)
 			}
-			if lim := p.Team[j.Team].CoresMax; lim > 0 && !over && used[j.Team] > lim+1e-6 {
-				t.Fatalf("seed %d: team %s uses %v of %v", seed, j.Team, used[j.Team], lim)
+			if j.Team == "t" && limit > 0 && !over && used[j.Team] > limit+1e-6 {
+				t.Fatalf("seed %d: team %s uses %v of %v", seed, j.Team, used[j.Team], limit)
 			}
 		}
 		for uid, z := range count {
@@ -570,7 +637,7 @@
 
 // A plan leaves the picture as it found it.
 func TestPlanRestoresThePicture(t *testing.T) {
-	p := &Picture{Team: map[string]*Quota{"t": {CoresMax: 100}}, Preempt: true, MoveCap: 3}
+	p := &Picture{Quota: used(quota.Limits{Limit: quota.NewAmount(100, 0)}, 0, 0), Preempt: true, MoveCap: 3}
 	a, b := machine("a", "x", 4, 8), machine("b", "y", 8, 32)
 	a.Banned = "sick"
 	b.Lower = []Victim{{Task: TaskID{"j-9", 0}, Priority: wire.RankLow, Cores: 2, RAM: 2}}
@@ -580,7 +647,7 @@
 	k.Priority = wire.RankHigh
 	k.Zones["x"], k.Machines["a"] = 1, 1
 	snap := func() string {
-		return fmt.Sprint(a.Cores, a.RAM, b.Cores, b.RAM, b.StopCores, b.Lower, *p.Team["t"], j.Zones, j.Machines, k.Zones, k.Machines, len(p.index.open[ordinary][level(b.RAM)].width[width(b.Cores)]))
+		return fmt.Sprint(a.Cores, a.RAM, b.Cores, b.RAM, b.StopCores, b.Lower, p.Quota.Usage("t"), j.Zones, j.Machines, k.Zones, k.Machines, len(p.index.open[ordinary][level(b.RAM)].width[width(b.Cores)]))
 	}
 	before := snap()
 	p.Waiting = []Waiting{{Job: j, Indexes: indexes(3)}}
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -14,12 +14,6 @@
 // slop absorbs rounding of decimal amounts.
 const slop = 1e-6
 
-// Quota is a team's use, limit and guarantee; 0 means none.
-type Quota struct {
-	Cores, CoresMax, CoresMin float64
-	Accel, AccelMax, AccelMin float64
-}
-
 // Rule says whether one more task of a job may be on a machine, given the picture.
 type Rule interface {
 	// Allows tells whether one more task of j may be on m.
@@ -48,11 +42,14 @@
 	return !j.Shun[m.Name] && !(j.Probe && m.Struck && p.AvoidStruck)
 }
 
-// Held keeps the room of a machine for the job that has waited too long for it.
+// Held keeps the room of a machine for the job that has waited too long for it. What
+// is within its team's guarantee need not wait for it.
 type Held struct{}
 
 // Allows implements Rule.
-func (Held) Allows(_ *Picture, j *Job, m *Machine) bool { return m.Held == "" || m.Held == j.UID }
+func (Held) Allows(_ *Picture, j *Job, m *Machine) bool {
+	return m.Held == "" || m.Held == j.UID || j.Entitled
+}
 
 // AllowedType keeps a job to its machine types.
 type AllowedType struct{}
@@ -104,17 +101,13 @@
 	return true
 }
 
-// TeamLimit keeps a team's tasks, those that may still exist included, within its limit.
+// TeamLimit keeps a team's tasks, those that may still exist included, within its
+// limit, by the leader's ledger.
 type TeamLimit struct{}
 
 // Allows implements Rule.
 func (TeamLimit) Allows(p *Picture, j *Job, _ *Machine) bool {
-	q := p.Team[j.Team]
-	if q == nil {
-		return true
-	}
-	return (q.CoresMax == 0 || q.Cores+j.Cores <= q.CoresMax+slop) &&
-		(q.AccelMax == 0 || q.Accel+j.Accel <= q.AccelMax+slop)
+	return p.draft == nil || p.draft.Fits(j.Team, j.amount())
 }
 
 // room is the capacity rule: what is booked on a machine fits it.
--- /dev/null
+++ b/quota/draft.go
@@ -0,0 +1,82 @@
+package quota
+
+// Draft is the ledger as it would be after the steps of a plan that is being made.
+// It leaves the ledger as it is: a plan takes effect only by reservations.
+type Draft struct {
+	ledger *Ledger
+	deltas map[string]*delta
+}
+
+// delta is what a plan changes of one team's use.
+type delta struct {
+	planned  Amount // started by the plan, less what it takes off
+	stopping Amount // told to stop by the plan: it counts for the limit until it is gone
+}
+
+// Draft begins a draft. A nil ledger knows no limits and no guarantees.
+func (l *Ledger) Draft() *Draft { return &Draft{ledger: l, deltas: map[string]*delta{}} }
+
+func (d *Draft) delta(team string) *delta {
+	x := d.deltas[team]
+	if x == nil {
+		x = &delta{}
+		d.deltas[team] = x
+	}
+	return x
+}
+
+// use is the team's account and its use with the draft's steps.
+func (d *Draft) use(team string) (account *account, total, stopping Amount) {
+	if d.ledger == nil {
+		return nil, Amount{}, Amount{}
+	}
+	account = d.ledger.accounts[team]
+	if account == nil {
+		return nil, Amount{}, Amount{}
+	}
+	total = account.total
+	if x := d.deltas[team]; x != nil {
+		total, stopping = total.Plus(x.planned), x.stopping
+	}
+	return account, total, stopping
+}
+
+// Fits tells whether a team may use so much more.
+func (d *Draft) Fits(team string, more Amount) bool {
+	account, total, _ := d.use(team)
+	return account == nil || account.limits.Admit(total.Plus(more))
+}
+
+// Add takes a task that the plan starts into its team's use.
+func (d *Draft) Add(team string, amount Amount) {
+	x := d.delta(team)
+	x.planned = x.planned.Plus(amount)
+}
+
+// Remove takes a task that the plan no longer starts, or looks at elsewhere, off its
+// team's use.
+func (d *Draft) Remove(team string, amount Amount) {
+	x := d.delta(team)
+	x.planned = x.planned.Minus(amount)
+}
+
+// Stop notes that the plan stops a task. Its team is no longer beyond its guarantee by
+// it, though it counts for the limit until it is proved gone.
+func (d *Draft) Stop(team string, amount Amount) {
+	x := d.delta(team)
+	x.stopping = x.stopping.Plus(amount)
+}
+
+// Borrows tells whether a team runs more than its guarantee in a resource that a task
+// of it takes: such work may be stopped to give another team its guarantee. What is
+// being stopped counts no more, or a team would lose its own guarantee while the
+// stops of its work are under way.
+func (d *Draft) Borrows(team string, task Amount) bool {
+	account, total, stopping := d.use(team)
+	if account == nil {
+		return false
+	}
+	left := total.Minus(stopping).Minus(account.states[Stopping].Amount)
+	guarantee := account.limits.Guarantee
+	return left.Cores > guarantee.Cores || task.Accelerators > 0 && left.Accelerators > guarantee.Accelerators
+}
--- /dev/null
+++ b/quota/ledger_test.go
@@ -0,0 +1,344 @@
+package quota
+
+import (
+	"errors"
+	"flag"
+	"math"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestMain makes the property tests draw the same values every time, unless a seed is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// modelReservation is what the plain model keeps of one attempt.
+type modelReservation struct {
+	team   string
+	amount Amount
+	state  State
+	handle *Reservation
+}
+
+// ledgerMachine plays random transitions on a ledger and on a plain model of it: a
+// list of all attempts ever made, summed up anew at every look.
+type ledgerMachine struct {
+	ledger   *Ledger
+	teams    map[string]Limits
+	attempts []*modelReservation
+}
+
+func (m *ledgerMachine) sum(team string, states ...State) (use Use) {
+	for _, r := range m.attempts {
+		for _, s := range states {
+			if r.team == team && r.state == s {
+				use.grow(r.amount)
+			}
+		}
+	}
+	return use
+}
+
+func (m *ledgerMachine) total(team string) Amount {
+	return m.sum(team, Booked, InDoubt, Running, Stopping).Amount
+}
+
+func (m *ledgerMachine) any(t *rapid.T) *modelReservation {
+	if len(m.attempts) == 0 {
+		t.Skip("nothing is reserved yet")
+	}
+	return m.attempts[rapid.IntRange(0, len(m.attempts)-1).Draw(t, "attempt")]
+}
+
+// Check is the invariant after every transition.
+func (m *ledgerMachine) Check(t *rapid.T) {
+	for team, limits := range m.teams {
+		got := m.ledger.Usage(team)
+		if got.Total != m.total(team) {
+			t.Fatalf("%s uses %+v, the model says %+v", team, got.Total, m.total(team))
+		}
+		if got.Total.Cores < 0 || got.Total.Accelerators < 0 {
+			t.Fatalf("%s uses less than nothing: %+v", team, got.Total)
+		}
+		if !limits.Admit(got.Total) {
+			t.Fatalf("%s uses %+v, beyond %+v", team, got.Total, limits.Limit)
+		}
+		for s := Booked; s < Released; s++ {
+			if want := m.sum(team, s); got.Of(s) != want {
+				t.Fatalf("%s has %+v %v, the model says %+v", team, got.Of(s), s, want)
+			}
+		}
+		if got.Of(Released) != (Use{}) {
+			t.Fatalf("%s has %+v released", team, got.Of(Released))
+		}
+	}
+}
+
+func drawAmount(t *rapid.T) Amount {
+	return NewAmount(float64(rapid.IntRange(0, 80).Draw(t, "tenths of cores"))/10, float64(rapid.IntRange(0, 2).Draw(t, "accelerators")))
+}
+
+func (m *ledgerMachine) drawTeam(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"tight", "guaranteed", "free"}).Draw(t, "team")
+}
+
+// Reserve asks for room: the ledger grants it exactly where the model has some.
+func (m *ledgerMachine) Reserve(t *rapid.T) {
+	team, amount := m.drawTeam(t), drawAmount(t)
+	fits := m.teams[team].Admit(m.total(team).Plus(amount))
+	handle, err := m.ledger.Reserve(team, amount)
+	if (err == nil) != fits {
+		t.Fatalf("reserve %+v for %s: %v, and it fits: %v", amount, team, err, fits)
+	}
+	if err != nil {
+		if !errors.Is(err, ErrOverLimit) {
+			t.Fatalf("refused with %v", err)
+		}
+		return
+	}
+	m.attempts = append(m.attempts, &modelReservation{team, amount, Booked, handle})
+}
+
+// Transitions that come late, twice, or of an attempt that is long gone.
+
+func (m *ledgerMachine) Confirm(t *rapid.T) {
+	r := m.any(t)
+	r.handle.Confirm()
+	if r.state == Booked {
+		r.state = InDoubt
+	}
+}
+
+func (m *ledgerMachine) Shown(t *rapid.T) {
+	r := m.any(t)
+	r.handle.Shown()
+	if r.state == Booked || r.state == InDoubt {
+		r.state = Running
+	}
+}
+
+func (m *ledgerMachine) Doubt(t *rapid.T) {
+	r := m.any(t)
+	r.handle.Doubt()
+	if r.state == Running {
+		r.state = InDoubt
+	}
+}
+
+func (m *ledgerMachine) Stop(t *rapid.T) {
+	r := m.any(t)
+	r.handle.Stop()
+	if r.state != Released {
+		r.state = Stopping
+	}
+}
+
+func (m *ledgerMachine) Release(t *rapid.T) {
+	r := m.any(t)
+	r.handle.Release()
+	r.state = Released
+}
+
+// Succeed lets a new leader build its ledger from what is recorded: all but what was
+// only booked, which nobody was ever told of. Cancelled work is told to stop anew.
+func (m *ledgerMachine) Succeed(t *rapid.T) {
+	before := map[string]Amount{}
+	for team := range m.teams {
+		before[team] = m.total(team).Minus(m.sum(team, Booked).Amount)
+	}
+	m.ledger = NewLedger(m.teams)
+	kept := m.attempts[:0]
+	for _, r := range m.attempts {
+		if r.state == Booked || r.state == Released {
+			continue
+		}
+		r.handle = m.ledger.Adopt(r.team, r.amount)
+		if r.state == Stopping {
+			r.handle.Stop()
+		} else {
+			r.state = InDoubt
+		}
+		kept = append(kept, r)
+	}
+	m.attempts = kept
+	for team, want := range before {
+		if got := m.ledger.Usage(team).Total; got != want {
+			t.Fatalf("%s uses %+v under the successor, %+v before", team, got, want)
+		}
+	}
+}
+
+// Whatever comes in whatever order, the ledger agrees with the plain model: no team is
+// above its limit or below nothing, and a rebuilt ledger equals the one kept all along.
+func TestLedgerAgreesWithModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ledgerMachine{teams: map[string]Limits{
+			"tight":      {Limit: NewAmount(10, 3)},
+			"guaranteed": {Guarantee: NewAmount(4, 0), Limit: NewAmount(8, 0)},
+			"free":       {},
+		}}
+		m.ledger = NewLedger(m.teams)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+// A ledger without its check of the limit is caught by the model's: the property
+// test can fail.
+func TestModelCatchesALedgerWithoutLimit(t *testing.T) {
+	m := &ledgerMachine{teams: map[string]Limits{"tight": {Limit: NewAmount(1, 0)}}}
+	m.ledger = NewLedger(nil) // it knows no limits
+	handle, err := m.ledger.Reserve("tight", NewAmount(2, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.attempts = append(m.attempts, &modelReservation{"tight", NewAmount(2, 0), Booked, handle})
+	if m.teams["tight"].Admit(m.ledger.Usage("tight").Total) {
+		t.Error("a team at twice its limit passes the check")
+	}
+}
+
+// Under limits that were lowered, what a predecessor recorded counts in full, and
+// nothing more is granted until enough of it is proved gone.
+func TestLowerLimitAfterRestart(t *testing.T) {
+	l := NewLedger(map[string]Limits{"team": {Limit: NewAmount(4, 0)}})
+	var old []*Reservation
+	for range 4 {
+		old = append(old, l.Adopt("team", NewAmount(2, 0)))
+	}
+	for gone := range 4 {
+		if got, want := l.Fits("team", NewAmount(2, 0)), gone == 3; got != want {
+			t.Errorf("%d of 4 gone: room for one more %v, want %v", gone, got, want)
+		}
+		old[gone].Stop()
+		old[gone].Release()
+		old[gone].Release() // a second proof of the same
+	}
+	if got := l.Usage("team").Total; got != (Amount{}) {
+		t.Errorf("all is gone, and %+v is in use", got)
+	}
+}
+
+// A team that the settings no longer name keeps what it runs, without limits.
+func TestTeamWithoutSettings(t *testing.T) {
+	l := NewLedger(map[string]Limits{"team": {}})
+	l.Adopt("gone", NewAmount(7, 0))
+	if got := l.Usage("gone").Total; got != NewAmount(7, 0) {
+		t.Errorf("uses %+v", got)
+	}
+	if diff := cmp.Diff([]string{"gone", "team"}, l.Teams()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Sums of decimals are exact, in whatever order, and no amount is absurd.
+func TestUnits(t *testing.T) {
+	for decimal, want := range map[float64]Units{0.1: 100_000, 4: 4_000_000, 0.0000004: 0, -3: 0, math.NaN(): 0, math.Inf(1): maxUnits, 1e300: maxUnits} {
+		if got := ToUnits(decimal); got != want {
+			t.Errorf("%v: %d, want %d", decimal, got, want)
+		}
+	}
+	l := NewLedger(map[string]Limits{"team": {Limit: NewAmount(0.3, 0)}})
+	for range 3 {
+		if _, err := l.Reserve("team", NewAmount(0.1, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := l.Reserve("team", NewAmount(0.000001, 0)); !errors.Is(err, ErrOverLimit) {
+		t.Errorf("a millionth beyond the limit: %v", err)
+	}
+}
+
+// Beyond its guarantee is only what is not being stopped: stops that are under way
+// count, those of the plan as well as those of earlier ones.
+func TestBorrowsLessWhatIsBeingStopped(t *testing.T) {
+	task := NewAmount(4, 0)
+	l := NewLedger(map[string]Limits{"team": {Guarantee: NewAmount(8, 0)}})
+	var running []*Reservation
+	for range 4 {
+		r := l.Adopt("team", task)
+		r.Shown()
+		running = append(running, r)
+	}
+	draft := l.Draft()
+	for stopped := range 2 {
+		if !draft.Borrows("team", task) {
+			t.Errorf("%d of 4 tasks stopped: not beyond two tasks' guarantee", stopped)
+		}
+		draft.Stop("team", task)
+	}
+	if draft.Borrows("team", task) {
+		t.Error("two of four tasks stopped by the plan: still beyond two tasks' guarantee")
+	}
+	running[0].Stop()
+	running[1].Stop()
+	if l.Draft().Borrows("team", task) {
+		t.Error("two of four tasks are being stopped: still beyond two tasks' guarantee")
+	}
+	if draft := l.Draft(); draft.Borrows("team", NewAmount(0, 1)) {
+		t.Error("a team without accelerators borrows some")
+	}
+	var none *Ledger
+	if d := none.Draft(); !d.Fits("team", task) || d.Borrows("team", task) {
+		t.Error("without a ledger there is a limit, or a guarantee")
+	}
+}
+
+// A draft changes nothing but itself.
+func TestDraftLeavesTheLedger(t *testing.T) {
+	task := NewAmount(4, 1)
+	l := NewLedger(map[string]Limits{"team": {Limit: NewAmount(8, 0)}})
+	l.Adopt("team", task)
+	before := l.Usage("team")
+	d := l.Draft()
+	d.Add("team", task)
+	if d.Fits("team", task) {
+		t.Error("three tasks fit where two may run")
+	}
+	d.Remove("team", task)
+	if !d.Fits("team", task) {
+		t.Error("what a plan took back still counts")
+	}
+	if diff := cmp.Diff(before, l.Usage("team")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Jobs are within the guarantee together with the team's earlier ones.
+func TestEntitled(t *testing.T) {
+	l := NewLedger(map[string]Limits{"a": {Guarantee: NewAmount(8, 0)}, "b": {}, "c": {Guarantee: NewAmount(4, 2)}})
+	got := l.Entitled([]Demand{
+		{"a", NewAmount(6, 0)}, {"b", NewAmount(1, 0)}, {"a", NewAmount(3, 0)}, {"c", NewAmount(4, 2)}, {"c", NewAmount(0, 1)}, {"unknown", NewAmount(0, 0)},
+	})
+	if diff := cmp.Diff([]bool{true, false, false, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+	if !l.Guarantees() || NewLedger(map[string]Limits{"b": {Limit: NewAmount(1, 0)}}).Guarantees() {
+		t.Error("guarantees are seen where there are none, or not where there are")
+	}
+}
+
+// BenchmarkReserve is the cost of an attempt's whole way through the ledger.
+func BenchmarkReserve(b *testing.B) {
+	l := NewLedger(map[string]Limits{"team": {Limit: NewAmount(100, 0)}})
+	amount := NewAmount(4, 0)
+	for b.Loop() {
+		r, err := l.Reserve("team", amount)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Confirm()
+		r.Shown()
+		r.Stop()
+		r.Release()
+	}
+}
--- a/record.go
+++ b/record.go
@@ -395,7 +395,7 @@
 		}
 		c.stamp, c.saved = epoch, wr.seq
 		for _, b := range wr.recorded {
-			b.Recorded = true
+			g.fl.Confirm(b)
 			g.toTell[b.Machine] = true
 		}
 		for _, b := range wr.ended {
--- a/sizing.go
+++ b/sizing.go
@@ -433,7 +433,7 @@
 		if j.cancelled || j.calledOff || j.trial.bad || left == 0 {
 			continue
 		}
-		if q := g.pic.Team[s.Owner]; j.running == 0 && q != nil && (q.CoresMax > 0 && q.Cores+s.Cores > q.CoresMax || q.AccelMax > 0 && q.Accel+s.Accel > q.AccelMax) {
+		if j.running == 0 && !g.mayGrow(j) {
 			continue // its team is at its limit: no machine would help it
 		}
 		w := cloud.Bound{Builds: s.Builds, Zone: s.Yard, Loaned: s.Loaned, Task: cloud.Load{Cores: s.Cores, RAM: s.RAM, Accel: s.Accel}}
@@ -499,7 +499,6 @@
 	var jobs []*job // the first of them, in order
 	older := func(a, b *job) int { return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.uid, b.uid)) }
 	for j := range g.queue {
-		s := &j.spec
 		since := max(j.seen, g.awake)
 		if !j.trial.doubtful() { // what is tried again and again and fails gets nowhere by it
 			since = max(since, j.placed)
@@ -509,7 +508,7 @@
 		if j.cancelled || j.calledOff || j.trial.bad || len(j.waiting) == 0 || now-since < after {
 			continue
 		}
-		if q := g.pic.Team[s.Owner]; q != nil && (q.CoresMax > 0 && q.Cores+s.Cores > q.CoresMax || q.AccelMax > 0 && q.Accel+s.Accel > q.AccelMax) {
+		if !g.mayGrow(j) {
 			continue
 		}
 		if i, _ := slices.BinarySearchFunc(jobs, j, older); i < maxStuck {
--- a/step.go
+++ b/step.go
@@ -89,10 +89,7 @@
 	}
 	g.hushAt = now
 	for _, m := range g.fl.Hush(now, 2*report) {
-		if !m.Hushed {
-			m.Hushed = true
-			g.touched[m] = true
-		}
+		g.fl.Silence(m)
 	}
 }
 
@@ -120,11 +117,12 @@
 	for _, l := range res.Launch {
 		j := g.jobs[l.Task.Job]
 		pc := &j.tasks[l.Task.Index]
-		m := g.fl.Machine(l.Machine)
-		pc.attempt++
+		b := g.reserve(j, l.Task.Index, g.fl.Machine(l.Machine), now)
+		if b == nil {
+			continue
+		}
+		pc.attempt = b.Attempt
 		j.placed = now
-		b := g.booking(j, l.Task.Index, pc.attempt)
-		b.Session = m.Session
 		j.spared = j.spared || j.pj.Aged
 		if j.pj.Probe {
 			g.tried(j, now)
@@ -132,7 +130,6 @@
 		if j.unhurried() {
 			g.paced--
 		}
-		g.fl.Reserve(m, b, now)
 		pc.state, pc.booking = taskPlaced, b
 		if j.single() && j.slab == nil && j.chunks[0].stamp == 0 {
 			g.intoSlab(j)
@@ -151,10 +148,10 @@
 	for _, mv := range res.Moves {
 		j := g.jobs[mv.Task.Job]
 		pc := &j.tasks[mv.Task.Index]
-		m := g.fl.Machine(mv.To)
-		t := g.booking(j, mv.Task.Index, pc.attempt+1)
-		t.Session = m.Session
-		g.fl.Reserve(m, t, now)
+		t := g.reserve(j, mv.Task.Index, g.fl.Machine(mv.To), now)
+		if t == nil {
+			continue
+		}
 		pc.target = t
 		g.log.Info("move", "task", pc.booking.Task.String(), "from", mv.From, "to", mv.To, "reason", mv.Reason)
 		g.halt(j, pc.booking, now)
@@ -176,6 +173,18 @@
 	g.met.Queue(unplaced)
 }
 
+// reserve books a task's next attempt on a machine; nil where the ledger refuses it,
+// which knows better than the plan. The caller holds mu.
+func (g *term) reserve(j *job, index int, m *fleet.Machine, now clock.Micros) *fleet.Booking {
+	b := g.booking(j, index, j.tasks[index].attempt+1)
+	b.Session = m.Session
+	if err := g.fl.Reserve(m, b, now); err != nil {
+		g.log.Error("the plan goes beyond a team's limit", "error", err)
+		return nil
+	}
+	return b
+}
+
 // keep notes which machines' room is kept for jobs that have waited long. The
 // caller holds mu.
 func (g *term) keep(holds map[string]string) {
