cedardoor teams: what teams use and what of their work waits, from any controller

Need: operators could not see why a team's work waits, nor what counts against its limit. Change: the operators' address (metrics.listen) serves /teams from the leader's ledger; other controllers ask the leader over their link, in pages, and show what they saw last, with its age, where nobody leads. Wrong calls give one line.

--- a/cmd/cedardoor/main.go
+++ b/cmd/cedardoor/main.go
@@ -14,14 +14,17 @@
 
 	"cedardoor"
 	"cedardoor/config"
+	"cedardoor/operator"
 
 	"github.com/spf13/cobra"
 )
 
-// Exit codes: 1 when the daemon fails, 2 when it is called or set up wrongly.
+// Exit codes of the daemon and of the commands; docs/operations.md lists them.
 const (
-	exitFailure = 1
-	exitUsage   = 2
+	exitFailure = 1 // the daemon failed, or no controller answers
+	exitUsage   = 2 // called or set up wrongly
+	exitStale   = 3 // the answer is an old one: no leader answers
+	exitNoView  = 4 // the controller has nothing to show yet
 )
 
 // errSetup marks mistakes of the caller.
@@ -39,6 +42,12 @@
 	switch {
 	case err == nil:
 		return 0
+	case errors.Is(err, errStale):
+		fmt.Fprintln(os.Stderr, "cedardoor:", err)
+		return exitStale
+	case errors.Is(err, operator.ErrNoView):
+		fmt.Fprintln(os.Stderr, "cedardoor:", err)
+		return exitNoView
 	case errors.Is(err, errSetup):
 		fmt.Fprintln(os.Stderr, "cedardoor:", strings.TrimSpace(err.Error()))
 		return exitUsage
@@ -94,7 +103,7 @@
 	root.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (JSON)")
 	root.PersistentFlags().StringVar(&operator, "settings", "", "the operators' settings file (JSON, see docs/operations.md)")
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
-		return setup(fmt.Errorf("%w\n%s", err, strings.TrimSpace(c.UsageString())))
+		return setup(fmt.Errorf("%w; see %s --help", err, c.CommandPath()))
 	})
 	root.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check settings files without starting anything", Args: noArgs,
@@ -116,13 +125,14 @@
 			return nil
 		},
 	})
+	root.AddCommand(teamsCommand())
 	root.CompletionOptions.DisableDefaultCmd = true
 	return root
 }
 
 func noArgs(c *cobra.Command, args []string) error {
 	if len(args) > 0 {
-		return setup(fmt.Errorf("unknown argument %q\n%s", args[0], strings.TrimSpace(c.UsageString())))
+		return setup(fmt.Errorf("unknown argument %q; see %s --help", args[0], c.CommandPath()))
 	}
 	return nil
 }
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,75 @@
+// Package operator is what operators' commands need: the paths of a controller's
+// operators' address, a client of it, and the forms in which answers are printed.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"cedardoor/quota"
+)
+
+// PathTeams is where a controller tells what teams use.
+const PathTeams = "/teams"
+
+// Failure is the body of an answer that is an error.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// What an address can answer instead of a view.
+var (
+	// ErrUnreachable means that no controller answers at the address.
+	ErrUnreachable = errors.New("no controller answers")
+	// ErrAddress means that what was given is no address.
+	ErrAddress = errors.New("not host:port")
+	// ErrNoView means that the controller has nothing to show: it has heard no leader yet.
+	ErrNoView = errors.New("the controller has no view")
+)
+
+// timeout bounds a request, and maxAnswer its answer: thousands of teams.
+const (
+	timeout   = 5 * time.Second
+	maxAnswer = 16 << 20
+)
+
+// Teams asks the controller with the given operators' address what teams use.
+func Teams(ctx context.Context, address string) (quota.Report, error) {
+	var report quota.Report
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return report, fmt.Errorf("address %q: %w", address, ErrAddress)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathTeams, nil)
+	if err != nil {
+		return report, fmt.Errorf("address %q: %w", address, err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return report, fmt.Errorf("%w at %s: %w", ErrUnreachable, address, errors.Unwrap(err))
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return report, fmt.Errorf("%w at %s: %w", ErrUnreachable, address, err)
+	}
+	if answer.StatusCode == http.StatusServiceUnavailable {
+		var failure Failure
+		_ = json.Unmarshal(raw, &failure)
+		return report, fmt.Errorf("%w: %s", ErrNoView, failure.Error)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return report, fmt.Errorf("%w at %s: status %d", ErrUnreachable, address, answer.StatusCode)
+	}
+	if err := json.Unmarshal(raw, &report); err != nil {
+		return report, fmt.Errorf("%w at %s: not a controller's answer", ErrUnreachable, address)
+	}
+	return report, nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cedardoor/internal/link"
+	"cedardoor/quota"
 )
 
 // Ask is a question to another controller.
@@ -23,6 +24,20 @@
 	// refuses it alone: answered as if it had come here.
 	Method, Path string
 	Body         []byte
+	Teams        TeamsQuestion
+}
+
+// TeamsQuestion asks the leader what teams use, for operators.
+type TeamsQuestion struct {
+	Asked bool
+	After string // the last team that is known already
+}
+
+// TeamsPage is the answer to a TeamsQuestion: nothing unless its sender leads.
+type TeamsPage struct {
+	Leads bool
+	Teams []quota.TeamReport // by name
+	More  bool               // there are further teams
 }
 
 // Outage is a leader's question whether the state service refuses the other
@@ -47,6 +62,7 @@
 	Counts map[string][2]int
 	Status int
 	Body   []byte
+	Teams  TeamsPage
 	Epoch  uint64 // of the cancel of the job that a user's request was about, if it was cancelled
 }
 
--- a/service.go
+++ b/service.go
@@ -46,6 +46,7 @@
 	term    atomic.Pointer[term]
 	front   *chi.Mux
 	socks   sockets
+	teams   teamsView
 	// relayAfter is when relaying is worth trying again, on the steady clock.
 	relayAfter atomic.Int64
 
@@ -106,7 +107,8 @@
 		failed <- srv.Serve(gate)
 	})
 	if s.op.Metrics.Listen != "" {
-		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.met.Handler(), ReadHeaderTimeout: 10 * time.Second}
+		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.operators(), ReadHeaderTimeout: 10 * time.Second}
+		wg.Go(func() { s.refreshTeams(ctx) })
 		wg.Go(func() {
 			if err := ms.ListenAndServe(); ctx.Err() == nil {
 				failed <- fmt.Errorf("metrics: %w", err)
@@ -198,6 +200,9 @@
 			r.Counts = g.counts(a.Counts)
 		}
 	}
+	if a.Teams.Asked {
+		r.Teams = s.teamsPage(a.Teams)
+	}
 	if a.Path != "" && !s.st.Failing() {
 		req, err := http.NewRequestWithContext(api.Relayed(ctx), a.Method, a.Path, bytes.NewReader(a.Body))
 		if err != nil {
--- /dev/null
+++ b/teams_test.go
@@ -0,0 +1,160 @@
+package cedardoor
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"cedardoor/config"
+	"cedardoor/operator"
+	"cedardoor/quota"
+	"cedardoor/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// teamNamed is the report of one team.
+func teamNamed(t *testing.T, r quota.Report, name string) quota.TeamReport {
+	t.Helper()
+	for _, team := range r.Teams {
+		if team.Team == name {
+			return team
+		}
+	}
+	t.Fatalf("no team %q in %+v", name, r)
+	return quota.TeamReport{}
+}
+
+// The report follows a team's work from waiting at its limit to its proof of absence.
+func TestTeamsReport(t *testing.T) {
+	s := newSite(t)
+	n := s.node(func(f *config.Facts) { f.Teams[0].CPUsMax, f.Teams[0].CPUs = 4, 2 })
+	g, _ := s.elect(n)
+	n.term.Store(g)
+	w := s.worker("n-1", "x", true)
+	heartbeat(t, g, w)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 4 }))
+	s.resync(g)
+	s.settle(g)
+	heartbeat(t, g, w)
+	look := func() quota.TeamReport {
+		t.Helper()
+		r, err := n.Teams(t.Context())
+		if err != nil || !r.Fresh || r.Leader != n.cfg.Node {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		return teamNamed(t, r, "team")
+	}
+	want := quota.TeamReport{Team: "team", Tasks: quota.TasksReport{Running: 2},
+		Cores:   quota.ResourceReport{Limit: 4, Guarantee: 2, InUse: 4, Running: 4},
+		Waiting: quota.WaitingReport{Jobs: 1, Tasks: 2, Reasons: map[quota.Reason]int{quota.ReasonLimit: 2}}}
+	if diff := cmp.Diff(want, look()); diff != "" {
+		t.Errorf("at its limit: %s", diff)
+	}
+	w.Unreachable(true) // direct commands don't arrive
+	if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns+"/j-1/abort", nil); code != http.StatusOK {
+		t.Fatalf("abort: %d", code)
+	}
+	s.resync(g)
+	want.Tasks, want.Waiting = quota.TasksReport{Stopping: 2}, quota.WaitingReport{}
+	want.Cores.Running, want.Cores.Stopping = 0, 4
+	if diff := cmp.Diff(want, look()); diff != "" {
+		t.Errorf("cancelled, and not proved gone: %s", diff)
+	}
+	heartbeat(t, g, w) // is told to stop
+	heartbeat(t, g, w) // shows that it has
+	want.Tasks, want.Cores = quota.TasksReport{}, quota.ResourceReport{Limit: 4, Guarantee: 2}
+	if diff := cmp.Diff(want, look()); diff != "" {
+		t.Errorf("proved gone: %s", diff)
+	}
+}
+
+// askTeams asks a controller of a world for the teams' use as an operator does.
+func (w *world) askTeams(node int) (quota.Report, error) {
+	p := w.running(fmt.Sprintf("node-%d", node+1))
+	if p == nil {
+		return quota.Report{}, errLost
+	}
+	server := httptest.NewRecorder()
+	p.operators().ServeHTTP(server, httptest.NewRequestWithContext(w.ctx, http.MethodGet, operator.PathTeams, nil))
+	if server.Code != http.StatusOK {
+		return quota.Report{}, fmt.Errorf("status %d", server.Code)
+	}
+	return p.Teams(w.ctx)
+}
+
+// Every controller tells what the leader's ledger holds; when nobody leads, what it saw
+// last, and how old that is. One that never heard a leader says so.
+func TestTeamsFromEveryController(t *testing.T) {
+	s := schedule{seed: 1, lasts: at(60), leads: 1, limits: map[string]float64{}}
+	s.users = []submission{user(1, 2, 0, func(sp *wire.Spec) { standing(2)(sp); sp.Owner = "tight" })}
+	s.troubles = []trouble{
+		{kind: refuseAll, at: at(30), lasts: at(25)},
+		{kind: killNode, at: at(31), lasts: at(20), node: 3},
+	}
+	s.setup = func(w *world) {
+		w.during(25, func() {
+			for node := range 3 {
+				r, err := w.askTeams(node)
+				if err != nil || !r.Fresh || r.Leader != "node-1" {
+					t.Errorf("node %d: %+v, %v", node+1, r, err)
+					continue
+				}
+				if got := teamNamed(t, r, "tight"); got.Cores.Running != 2 || got.Cores.Limit != tightLimit {
+					t.Errorf("node %d shows %+v", node+1, got)
+				}
+			}
+		})
+		w.during(50, func() {
+			r, err := w.askTeams(1)
+			if err != nil || r.Fresh || r.AgeS < 24 || r.Leader != "node-1" {
+				t.Errorf("while nobody leads: %+v, %v", r, err)
+			}
+			if got := teamNamed(t, r, "tight"); got.Cores.Running != 2 {
+				t.Errorf("while nobody leads: %+v", got)
+			}
+		})
+		w.during(52, func() {
+			if r, err := w.askTeams(0); err == nil {
+				t.Errorf("a controller that has just started, while nobody leads: %+v", r)
+			}
+		})
+		w.during(100, func() {
+			for node := range 3 {
+				if r, err := w.askTeams(node); err != nil || !r.Fresh || r.AgeS != 0 || r.Node != fmt.Sprintf("node-%d", node+1) {
+					t.Errorf("node %d when all is well again: %+v, %v", node+1, r, err)
+				}
+			}
+		})
+	}
+	playOut(t, s, nil)
+}
+
+// A thousand teams take several messages between controllers.
+func TestTeamsComeInPages(t *testing.T) {
+	s := newSite(t)
+	many := func(f *config.Facts) {
+		for i := range 1000 {
+			f.Teams = append(f.Teams, config.Team{Name: fmt.Sprintf("team-%04d", i), CPUsMax: float64(i + 1)})
+		}
+	}
+	a, b := s.node(many), s.node(many)
+	s.connect(a, b)
+	link := a.relays[b.cfg.Node]
+	if teams, err := teamsOf(t.Context(), link); !errors.Is(err, errNoLeader) {
+		t.Fatalf("of one that does not lead: %d teams, %v", len(teams), err)
+	}
+	g, _ := s.elect(b)
+	b.term.Store(g)
+	teams, err := teamsOf(t.Context(), link)
+	if err != nil || len(teams) != 1001 {
+		t.Fatalf("%d teams, %v", len(teams), err)
+	}
+	for i, team := range teams[1:] {
+		if team.Team <= teams[i].Team {
+			t.Fatalf("%s comes after %s", team.Team, teams[i].Team)
+		}
+	}
+}
