Submissions share the state service's changes by team; sizing rents within limits; warnings

Need: one team's flood of submissions at a controller took all of its changes, and kept other teams' out: their submissions were refused along with the flood's. Machines were rented for work that its team's limit does not let run. A limit below its guarantee, or a team named twice, went unseen. Submissions of one priority share transactions team by team. Sizing asks the ledger which part of the waiting work may run. check and the log name limits that can't be kept together, and guarantees beyond fleet.max_machines.

--- a/api/api.go
+++ b/api/api.go
@@ -390,7 +390,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.in == nil {
-		u.in = &intake{st: u.Store, ck: u.Clock}
+		most, least := u.Store.UserWrites()
+		u.in = &intake{st: u.Store, ck: u.Clock, admission: quota.NewAdmission(config.TeamLimits(u.Teams), most, least)}
 	}
 	return u.in
 }
@@ -497,7 +498,7 @@
 		}
 		rec := store.Over(&job.Spec, wire.JobCancelled, u.Node)
 		u.Cancels.Expect(uid)
-		epoch, err := tryBusy(ctx, u.Store, u.Clock, wire.Txn{
+		epoch, err := tryBusy(ctx, u.Store, u.Clock, u.taking().admission, wire.Txn{
 			When:  []wire.When{{Path: store.JobKey(uid), Stamp: row.Stamp}},
 			Apply: []wire.Apply{{Delete: store.JobKey(uid)}, {Set: store.OverKey(uid), Value: rec}},
 		})
--- a/api/intake.go
+++ b/api/intake.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"cedardoor/clock"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -19,8 +21,9 @@
 // request each; and when more come than the state service takes changes, what
 // can't be taken is refused at once rather than kept waiting.
 type intake struct {
-	st *store.Client
-	ck *clock.Clock
+	st        *store.Client
+	ck        *clock.Clock
+	admission *quota.Admission // divides what may be taken among teams
 
 	mu    sync.Mutex // guards all below
 	queue []*entry
@@ -31,6 +34,7 @@
 type entry struct {
 	rec      store.JobRecord
 	priority wire.Rank
+	turn     int // among those of its team and priority
 	size     int
 	done     chan error
 }
@@ -56,8 +60,10 @@
 	if priority == wire.RankLow {
 		wait = lowPatience
 	}
-	if err := in.st.Admit(ctx, 1, wait); err != nil {
-		return err
+	if err := in.admission.Admit(ctx, rec.Spec.Owner, wait); errors.Is(err, quota.ErrCrowded) {
+		return fmt.Errorf("%w: %w", store.ErrBusy, err)
+	} else if err != nil {
+		return fmt.Errorf("%w: %w", store.ErrRefused, err)
 	}
 	raw, err := wire.Marshal(rec)
 	if err != nil {
@@ -94,10 +100,13 @@
 	}
 }
 
-// next takes the submissions of the next transaction out of the queue. The
-// caller holds mu.
+// next takes the submissions of the next transaction out of the queue: by priority, and
+// of the same priority one of each team in turn. The caller holds mu.
 func (in *intake) next() (batch []*entry) {
-	slices.SortStableFunc(in.queue, func(a, b *entry) int { return cmp.Compare(b.priority, a.priority) })
+	in.takeTurns()
+	slices.SortStableFunc(in.queue, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.turn, b.turn))
+	})
 	rest, size := in.queue[:0:0], 0
 	taken := map[string]bool{}
 	for _, e := range in.queue {
@@ -114,6 +123,20 @@
 	return batch
 }
 
+// takeTurns numbers the submissions of each team and priority. The caller holds mu.
+func (in *intake) takeTurns() {
+	type line struct {
+		team     string
+		priority wire.Rank
+	}
+	turns := map[line]int{}
+	for _, e := range in.queue {
+		l := line{e.rec.Spec.Owner, e.priority}
+		e.turn = turns[l]
+		turns[l]++
+	}
+}
+
 func (in *intake) commit(batch []*entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
@@ -124,7 +147,7 @@
 			txn.When = append(txn.When, wire.When{Path: store.JobKey(uid)}, wire.When{Path: store.OverKey(uid)})
 			txn.Apply = append(txn.Apply, wire.Apply{Set: store.JobKey(uid), Value: e.rec})
 		}
-		_, err := tryBusy(ctx, in.st, in.ck, txn)
+		_, err := tryBusy(ctx, in.st, in.ck, in.admission, txn)
 		if errors.Is(err, store.ErrMalformed) && len(batch) > 1 {
 			// One that the store does not take must not be the others' end.
 			for _, e := range batch {
@@ -160,12 +183,15 @@
 
 // tryBusy runs a user's transaction, again for a moment while the service only
 // has too much to do at once.
-func tryBusy(ctx context.Context, st *store.Client, ck *clock.Clock, txn wire.Txn) (epoch uint64, err error) {
+func tryBusy(ctx context.Context, st *store.Client, ck *clock.Clock, admission *quota.Admission, txn wire.Txn) (epoch uint64, err error) {
 	for try := 1; ; try++ {
 		epoch, err := st.Commit(ctx, store.Vital, txn)
 		busy := errors.Is(err, store.ErrBusy)
-		if busy || err == nil {
-			st.Crowded(busy)
+		switch {
+		case busy:
+			admission.Refused()
+		case err == nil:
+			admission.Taken()
 		}
 		if !busy || try >= busyTries {
 			return epoch, err
--- a/config/config.go
+++ b/config/config.go
@@ -42,6 +42,15 @@
 	return quota.Limits{Guarantee: quota.NewAmount(t.CPUs, t.Accel), Limit: quota.NewAmount(t.CPUsMax, t.AccelMax)}
 }
 
+// TeamLimits are the limits of teams by name. A team that is named twice has the last.
+func TeamLimits(teams []Team) map[string]quota.Limits {
+	out := make(map[string]quota.Limits, len(teams))
+	for _, t := range teams {
+		out[t.Name] = t.Limits()
+	}
+	return out
+}
+
 // Objective is one of the aims that the platform repeats.
 type Objective struct {
 	Kind    string  `json:"kind"`
@@ -172,6 +181,22 @@
 	if !slices.Contains(f.Zones, p.Area) {
 		add("area: %q is not among facts.zones", p.Area)
 	}
+	return append(warnings, f.teamWarnings()...)
+}
+
+// teamWarnings names what is amiss with teams' limits. None keeps a controller from
+// starting: a team's mistake must not stop the others' work.
+func (f *Facts) teamWarnings() (warnings []string) {
+	named := map[string]bool{}
+	for i, t := range f.Teams {
+		if named[t.Name] {
+			warnings = append(warnings, fmt.Sprintf("facts.teams[%d]: %q is named twice: the last counts", i, t.Name))
+		}
+		named[t.Name] = true
+		if limits := t.Limits(); !limits.Admit(limits.Guarantee) {
+			warnings = append(warnings, fmt.Sprintf("facts.teams[%d]: %q is guaranteed more than its limit: the limit holds", i, t.Name))
+		}
+	}
 	return warnings
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -92,6 +93,22 @@
 			t.Errorf("%s: no warning among %q", field, tight.Tight(defaults))
 		}
 	}
+	// So do limits that can't be kept together.
+	odd := platform()
+	odd["facts"].(map[string]any)["teams"] = []any{
+		map[string]any{"name": "a", "cpus": 8, "cpus_max": 4}, map[string]any{"name": "b", "gpus": 2, "gpus_max": 2},
+		map[string]any{"name": "c", "cpus": 8}, map[string]any{"name": "b"}}
+	warned, err := LoadPlatform(write(t, odd))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{`facts.teams[0]: "a" is guaranteed more than its limit: the limit holds`, `facts.teams[3]: "b" is named twice: the last counts`}
+	if got := warned.Facts.teamWarnings(); !slices.Equal(got, want) {
+		t.Errorf("warnings %q, want %q", got, want)
+	}
+	if all := warned.Tight(defaults); !strings.Contains(strings.Join(all, "\n"), want[0]) {
+		t.Errorf("not among %q", all)
+	}
 	// More controllers than zones, and many teams, are nothing unusual.
 	p := platform()
 	p["others"] = []any{map[string]any{"node": "b", "area": "x", "addr": "h:1"}, map[string]any{"node": "c", "area": "x", "addr": "h:2"}}
--- a/engine.go
+++ b/engine.go
@@ -202,7 +202,7 @@
 
 func newTerm(s *Service, r lead.Term) *term {
 	w := s.cfg.Facts.Workers
-	ledger := quota.NewLedger(teamLimits(s.cfg.Facts.Teams))
+	ledger := quota.NewLedger(config.TeamLimits(s.cfg.Facts.Teams))
 	g := &term{
 		quota: ledger,
 		cfg:   s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
@@ -222,15 +222,6 @@
 	return g
 }
 
-// teamLimits are the teams' limits by name.
-func teamLimits(teams []config.Team) map[string]quota.Limits {
-	out := make(map[string]quota.Limits, len(teams))
-	for _, t := range teams {
-		out[t.Name] = t.Limits()
-	}
-	return out
-}
-
 // room keeps the counts that the rules look at: of a job's tasks by zone and
 // machine. The caller holds mu.
 func (g *term) room(b *fleet.Booking, zone string, sign int) {
--- a/quota/amount.go
+++ b/quota/amount.go
@@ -75,3 +75,6 @@
 func (l Limits) Covers(total Amount) bool {
 	return total.Cores <= l.Guarantee.Cores && total.Accelerators <= l.Guarantee.Accelerators
 }
+
+// Limited tells whether the team has any limit.
+func (l Limits) Limited() bool { return l.Limit != (Amount{}) }
--- a/quota/entitlement.go
+++ b/quota/entitlement.go
@@ -32,3 +32,11 @@
 	}
 	return false
 }
+
+// GuaranteedInAll is the sum of all guarantees.
+func (l *Ledger) GuaranteedInAll() (sum Amount) {
+	for _, a := range l.accounts {
+		sum = sum.Plus(a.limits.Guarantee)
+	}
+	return sum
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -218,3 +218,20 @@
 	}
 	return Limits{}
 }
+
+// Part tells which part of waiting work a team's limit lets run beside what it uses.
+func (l *Ledger) Part(team string, waiting Amount) float64 {
+	a := l.accounts[team]
+	if a == nil {
+		return 1
+	}
+	return min(part(a.limits.Limit.Cores, a.total.Cores, waiting.Cores),
+		part(a.limits.Limit.Accelerators, a.total.Accelerators, waiting.Accelerators))
+}
+
+func part(limit, used, waiting Units) float64 {
+	if limit == 0 || used+waiting <= limit {
+		return 1
+	}
+	return float64(max(0, limit-used)) / float64(waiting)
+}
--- a/sizing.go
+++ b/sizing.go
@@ -14,6 +14,7 @@
 	"cedardoor/clock"
 	"cedardoor/cloud"
 	"cedardoor/fleet"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -90,6 +91,9 @@
 	}
 	g.mu.Lock()
 	same := sameSizes(cat, g.catalog)
+	if !same {
+		g.checkGuarantees(cat)
+	}
 	g.catalog = cat
 	g.fl.SetCatalog(cat)
 	stamp := g.catStamp
@@ -114,6 +118,20 @@
 	return nil
 }
 
+// checkGuarantees logs when the largest fleet that may be held can't hold what teams are
+// guaranteed. The caller holds mu.
+func (g *term) checkGuarantees(cat wire.Catalog) {
+	var most quota.Amount
+	for _, b := range cat.Builds {
+		machine := quota.NewAmount(b.Cores, b.Accel)
+		most.Cores, most.Accelerators = max(most.Cores, machine.Cores), max(most.Accelerators, machine.Accelerators)
+	}
+	most = most.Times(g.op.Fleet.MaxMachines)
+	if sum := g.quota.GuaranteedInAll(); sum.Cores > most.Cores || sum.Accelerators > most.Accelerators {
+		g.log.Info("guarantees add up to more than fleet.max_machines can hold", "cores", sum.Cores.Decimal(), "accelerators", sum.Accelerators.Decimal())
+	}
+}
+
 func sameSizes(a, b wire.Catalog) bool {
 	if len(a.Builds) != len(b.Builds) {
 		return false
@@ -242,6 +260,46 @@
 	return max(soonest, min(latest, 0.4*left)), max(soonest, left)
 }
 
+// unfinished counts a job's tasks that have a machine and those that have none.
+func (j *job) unfinished() (placed, left int) {
+	for i := range j.tasks {
+		if j.tasks[i].state == taskPlaced {
+			placed++
+		}
+	}
+	return placed, len(j.tasks) - j.done - placed
+}
+
+// parts tells for each team with a limit which part of its waiting work may run beside
+// what it uses. Machines for the rest would stand idle.
+type parts map[string]float64
+
+// of is how many of a job's waiting tasks its team's limit lets run.
+func (p parts) of(j *job, waiting int) float64 {
+	if part, limited := p[j.spec.Owner]; limited {
+		return part * float64(waiting)
+	}
+	return float64(waiting)
+}
+
+// grantable asks the ledger for the parts of the waiting work that may run. The caller
+// holds mu.
+func (g *term) grantable() parts {
+	waiting := map[string]quota.Amount{}
+	for j := range g.queue {
+		if j.cancelled || j.trial.bad || !g.quota.Limits(j.spec.Owner).Limited() {
+			continue
+		}
+		_, left := j.unfinished()
+		waiting[j.spec.Owner] = waiting[j.spec.Owner].Plus(j.task().Times(left))
+	}
+	out := make(parts, len(waiting))
+	for team, amount := range waiting {
+		out[team] = g.quota.Part(team, amount)
+	}
+	return out
+}
+
 // demand sums up the work there is. The caller holds mu.
 //
 // Loaned work is served by a fleet that follows the rate at which work
@@ -253,6 +311,7 @@
 	need := cloud.Need{Reserve: f.ReserveOD, ReserveMachine: f.ReserveMachine, ReserveZone: f.ReserveZone, Idle: clock.FromSeconds(f.IdleS), Machines: f.MaxMachines}
 	var work, all, pressing, lasting cloud.Load // lasting: replicas that spot machines may hold
 	wall := g.ck.Wall()
+	grantable := g.grantable()
 	for _, j := range g.jobs {
 		if j.cancelled {
 			continue
@@ -261,26 +320,21 @@
 		if j.trial.bad {
 			continue // it is tried now and then, but nothing is rented for it
 		}
-		running := 0
-		for i := range j.tasks {
-			if j.tasks[i].state == taskPlaced {
-				running++
-			}
-		}
-		waiting := len(j.tasks) - j.done - running
+		placed, left := j.unfinished()
+		running, waiting := float64(placed), grantable.of(j, left)
 		add := func(l *cloud.Load, n float64) {
 			l.Cores += n * s.Cores
 			l.RAM += n * s.RAM
 			l.Accel += n * s.Accel
 		}
 		if !s.Loaned {
-			add(&need.Ordinary, float64(running+waiting))
+			add(&need.Ordinary, running+waiting)
 			need.MaxCores = max(need.MaxCores, s.Cores)
 			need.Apart = need.Apart || s.Apart
 			continue
 		}
 		if j.standing() {
-			add(&lasting, float64(running+waiting))
+			add(&lasting, running+waiting)
 			continue
 		}
 		run := g.classRun(j).Seconds()
@@ -288,27 +342,27 @@
 			// What runs when there is room says nothing of what will come.
 			j.counted = true
 			drain, patient := g.idleDrains(j, run, wall)
-			left := (float64(waiting) + float64(running)/2) * run
-			most := min(float64(running+waiting), g.pace()*run)
+			left := (waiting + running/2) * run
+			most := min(running+waiting, g.pace()*run)
 			add(&work, min(most, left/drain))
 			if patient > 0 {
 				add(&pressing, min(most, left/patient))
 			}
-			add(&all, float64(running+waiting))
+			add(&all, running+waiting)
 			continue
 		}
 		if !j.counted {
 			j.counted = true
 			var l cloud.Load
-			add(&l, run*float64(len(j.tasks)))
+			add(&l, run*(float64(j.done)+running+waiting))
 			first := g.seeded == (cloud.Load{}) && now-g.r.Since < firstLook
 			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first, job: j})
 		}
 		drain, patient := g.drains(j, run)
-		left := (float64(waiting) + float64(running)/2) * run
-		add(&work, min(float64(running+waiting), left/drain))
-		add(&pressing, min(float64(running+waiting), left/patient))
-		add(&all, float64(running+waiting))
+		seconds := (waiting + running/2) * run
+		add(&work, min(running+waiting, seconds/drain))
+		add(&pressing, min(running+waiting, seconds/patient))
+		add(&all, running+waiting)
 	}
 	window := clock.FromSeconds(f.WindowS)
 	for len(g.arrivals) > 0 && now-g.arrivals[0].at > window {
--- a/store/client.go
+++ b/store/client.go
@@ -65,7 +65,6 @@
 	watch    *http.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
-	users    *rate.Limiter // users' submissions and aborts
 	limits   config.State
 	nodes    int
 	timeout  time.Duration
@@ -116,7 +115,6 @@
 	const dial = 1500 * clock.Millisecond
 	c := &Client{base: "http://" + addr, http: link.Client(dial, 24, 0), watch: link.Client(dial, 4, 0), timeout: 2 * time.Second,
 		limits: limits, nodes: max(1, nodes), requests: rate.NewLimiter(0, 0), writes: rate.NewLimiter(0, 0),
-		users: rate.NewLimiter(rate.Limit(mostUsers*limits.WriteRPS), max(4, int(mostUsers*limits.WriteRPS))),
 		retry: rate.NewLimiter(rate.Every(retryEvery), 1)}
 	c.Lead(nodes <= 1)
 	return c
@@ -144,41 +142,10 @@
 	return pause
 }
 
-// Admit lets a user's change in, or refuses it at once: when it would have to
-// wait for longer than patience behind others. What users ask for gives way to
-// the leader's records where the service can't take both: see Crowded.
-func (c *Client) Admit(ctx context.Context, puts int, patience time.Duration) error {
-	r := c.users.ReserveN(time.Now(), puts)
-	wait := r.Delay()
-	if !r.OK() || wait > patience {
-		r.Cancel()
-		return fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
-	}
-	if wait == 0 {
-		return nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		r.Cancel()
-		return fmt.Errorf("%w: %w", ErrRefused, ctx.Err())
-	}
-}
-
-// Crowded tells whether the service had too much to do for a user's change: then
-// this node lets fewer in, and more again as they go through. Each node sees for
-// itself how much the others and the leader take.
-func (c *Client) Crowded(yes bool) {
-	most := mostUsers * c.limits.WriteRPS
-	now := float64(c.users.Limit())
-	if yes {
-		c.users.SetLimit(rate.Limit(max(leastUsers*c.limits.WriteRPS/float64(c.nodes), 0.6*now)))
-	} else if now < most {
-		c.users.SetLimit(rate.Limit(min(most, now+0.03*most)))
-	}
+// UserWrites are how many changes a second this node may ask for in its users' name: at
+// most, and at the least, when the service has more to do than it can.
+func (c *Client) UserWrites() (most, least float64) {
+	return mostUsers * c.limits.WriteRPS, leastUsers * c.limits.WriteRPS / float64(c.nodes)
 }
 
 // TxnOps is how many changes a transaction may hold.
