--- a/engine.go
+++ b/engine.go
@@ -202,7 +202,7 @@
 
 func newTerm(s *Service, r lead.Term) *term {
 	w := s.cfg.Facts.Workers
-	ledger := quota.NewLedger(config.TeamLimits(s.cfg.Facts.Teams))
+	ledger := s.newLedger(config.TeamLimits(s.cfg.Facts.Teams))
 	g := &term{
 		quota: ledger,
 		cfg:   s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
--- a/model_test.go
+++ b/model_test.go
@@ -27,6 +27,7 @@
 	"cedardoor/internal/link"
 	"cedardoor/internal/standin"
 	"cedardoor/peer"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -71,6 +72,7 @@
 	killNode    = "controller killed"
 	cutPeers    = "controller cut from the others"
 	cutState    = "controller cut from the state service"
+	cutNode     = "controller cut from all"
 
 	cutZone       = "zone cut off"
 	keptReports   = "copies of reports come to the next leader"
@@ -122,6 +124,8 @@
 	onKind   string        // cancels as this trouble begins
 	repeats  bool          // submits again, also with another body
 	fails    bool          // each task fails on every machine
+	node     int           // whom it asks first, counted from the schedule's first
+	light    bool          // asks no more once its job is over
 }
 
 // schedule is all that chance decides about a meeting.
@@ -131,15 +135,17 @@
 	troubles []trouble
 	users    []submission
 
-	limits map[string]float64 // of teams beside those that every platform has; 0: none
-	timing timing             // of the workers, if not modelTiming
-	most   int                // machines that the cloud has, if not 12
-	boot   time.Duration      // how long machines boot, if not a second or two
-	slow   time.Duration      // how much longer messages take
-	lag    bool               // the cloud's list is older than it could be
-	leads  int                // the controller that leads first, counted from 1; 0: whoever comes first
-	holds  bool               // the network can hold messages
-	setup  func(w *world)     // arranges what a schedule can't tell; may be nil
+	limits map[string]float64                          // of teams beside those that every platform has; 0: none
+	floors map[string]float64                          // guarantees of those teams; 0: none
+	ledger func(map[string]quota.Limits) *quota.Ledger // of each leader, if not the real one
+	timing timing                                      // of the workers, if not modelTiming
+	most   int                                         // machines that the cloud has, if not 12
+	boot   time.Duration                               // how long machines boot, if not a second or two
+	slow   time.Duration                               // how much longer messages take
+	lag    bool                                        // the cloud's list is older than it could be
+	leads  int                                         // the controller that leads first, counted from 1; 0: whoever comes first
+	holds  bool                                        // the network can hold messages
+	setup  func(w *world)                              // arranges what a schedule can't tell; may be nil
 }
 
 func drawSchedule(seed uint64) schedule {
@@ -346,6 +352,7 @@
 	lines   map[*standin.Machine]*process        // whom a worker has a connection to
 	takers  map[string]map[*standin.Machine]bool // machines that took tasks of a job
 	first   map[string]time.Time                 // when a task first began
+	starts  map[string]time.Time                 // when a task of a team last began
 	history []string
 	broken  []string
 	sorry   map[string]bool // cancelled jobs whose tasks were found too late, told once
@@ -439,6 +446,7 @@
 	}
 	w.mu.Lock()
 	w.facts[uid].moved = time.Now()
+	w.starts[sp.Owner] = time.Now()
 	if _, began := w.first[piece]; !began {
 		w.first[piece] = time.Now()
 	}
@@ -789,7 +797,7 @@
 		Cloud:   config.Cloud{RPS: 100, ListLagS: 2},
 		Limits:  config.Limits{CoreShare: 1, MemMB: 200, FDLimit: 500}}
 	for _, team := range slices.Sorted(maps.Keys(w.s.limits)) {
-		cfg.Facts.Teams = append(cfg.Facts.Teams, config.Team{Name: team, CPUsMax: w.s.limits[team]})
+		cfg.Facts.Teams = append(cfg.Facts.Teams, config.Team{Name: team, CPUsMax: w.s.limits[team], CPUs: w.s.floors[team]})
 	}
 	op, err := config.LoadOperator("")
 	if err != nil {
@@ -802,6 +810,9 @@
 	n := newService(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)), clock.New(standin.NewSteady()))
 	link.Dial = realDial
 	dialMu.Unlock()
+	if w.s.ledger != nil {
+		n.newLedger = w.s.ledger
+	}
 	n.front.Post(wire.PathBeat, agent.ServeHeartbeat(n, func() bool { return false }))
 	ctx, cancel := context.WithCancel(w.ctx)
 	p := &process{Service: n, name: name}
@@ -834,7 +845,7 @@
 	w := &world{t: t, s: s, ctx: ctx, net: standin.NewNetwork(), state: standin.NewState(standin.NewSteady()), began: time.Now(),
 		specs: map[string]wire.Spec{}, facts: map[string]*fact{}, done: map[string]bool{}, left: map[string]int{},
 		ended: map[string]chan struct{}{}, active: map[int]trouble{}, lasting: map[string]int{}, hangs: map[*standin.Machine]time.Duration{},
-		muted: map[*standin.Machine]bool{}, faulty: map[*standin.Machine]bool{}, lines: map[*standin.Machine]*process{}, takers: map[string]map[*standin.Machine]bool{}, first: map[string]time.Time{}, sorry: map[string]bool{}}
+		muted: map[*standin.Machine]bool{}, faulty: map[*standin.Machine]bool{}, lines: map[*standin.Machine]*process{}, takers: map[string]map[*standin.Machine]bool{}, first: map[string]time.Time{}, starts: map[string]time.Time{}, sorry: map[string]bool{}}
 	for i, zone := range nodeZones {
 		w.net.Place(fmt.Sprintf("node-%d", i+1), zone)
 	}
@@ -1114,6 +1125,10 @@
 	case x.kind == killNode && p != nil:
 		p.stop()
 		end = func() { w.launch(x.node) }
+	case x.kind == cutNode:
+		// The schedule's setup has given each controller a zone of its own, by its name.
+		w.net.Isolate(name, true)
+		end = func() { w.net.Isolate(name, false) }
 	case (x.kind == cutPeers || x.kind == cutState) && p != nil:
 		var pairs [][2]string
 		w.mu.Lock()
@@ -1270,7 +1285,7 @@
 	path := wire.PathRuns + "/" + uid
 	over := w.began.Add(w.s.lasts + quietTail - 5*time.Second)
 	for n := 0; ; n++ {
-		status, _ := w.ask(n+int(w.s.seed), http.MethodPost, wire.PathRuns, uid, body)
+		status, _ := w.ask(n+u.node+int(w.s.seed), http.MethodPost, wire.PathRuns, uid, body)
 		if status == http.StatusCreated || status == http.StatusOK {
 			break
 		}
@@ -1309,7 +1324,13 @@
 	}
 	for n := 0; time.Now().Before(over); n++ {
 		time.Sleep(3 * time.Second)
-		w.ask(n, http.MethodGet, path, uid, nil)
+		_, v := w.ask(n+u.node, http.MethodGet, path, uid, nil)
+		if u.light {
+			if v.Status == wire.JobDone || v.Status == wire.JobCancelled {
+				return
+			}
+			continue
+		}
 		if u.repeats && n%4 == 1 {
 			w.ask(n+1, http.MethodPost, wire.PathRuns, uid, body)
 			w.ask(n+2, http.MethodPost, wire.PathRuns, uid, bodyOf(w.t, u.spec, func(m map[string]any) { m["cores"] = -1 }))
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -67,6 +67,14 @@
 // amount is what the task takes of its team's limit.
 func (v *Victim) amount() quota.Amount { return quota.NewAmount(v.Cores, v.Accel) }
 
+// team is the task's team, empty where that is not known.
+func (v *Victim) team() string {
+	if v.Job == nil {
+		return ""
+	}
+	return v.Job.Team
+}
+
 // TaskID names a task.
 type TaskID struct {
 	Job   string
@@ -141,6 +149,7 @@
 
 	index *index
 	draft *quota.Draft // the ledger with the plan's steps, while one is being made
+	owed  bool         // what is being placed is within its team's guarantee
 }
 
 // Placement puts a task on a machine.
@@ -197,10 +206,7 @@
 	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
 	p.draft = p.Quota.Draft()
 	pl.out.Unplaced = map[string]int{}
-	entitled, services, others := pl.groups()
-	if len(entitled) > 0 {
-		pl.launch(entitled)
-	}
+	services, others := byShape(pl.launchOwed())
 	pl.launch(services)
 	pl.repair()
 	pl.out.Turns = pl.launch(others)
@@ -242,22 +248,82 @@
 // until it has waited long itself.
 const AgedTasks = 1
 
-// groups divides what waits by when it is placed. What is within a team's guarantee
-// goes first, whatever its priority: it need not wait for other teams, and what it has
-// preempted would else be placed again before it. Services go before the repair, so
-// that replacing a lost replica never waits behind a move, the rest after it.
-func (pl *planner) groups() (entitled, services, others []*Waiting) {
+// launchOwed places as many tasks as teams are owed of their guarantees, whatever their
+// priority: they need not wait for other teams, and what they have preempted would else be
+// placed again before them. Jobs that fit into the guarantee together with the
+// team's earlier ones come first. It gives what is left to place.
+func (pl *planner) launchOwed() (rest []*Waiting) {
+	waiting := make([]*Waiting, 0, len(pl.Waiting))
 	for i := range pl.Waiting {
-		switch w := &pl.Waiting[i]; {
-		case w.Job.Entitled:
-			entitled = append(entitled, w)
-		case w.Job.Standing:
+		waiting = append(waiting, &pl.Waiting[i])
+	}
+	if !pl.Quota.Guarantees() {
+		return waiting
+	}
+	sort.SliceStable(waiting, func(i, j int) bool {
+		a, b := waiting[i], waiting[j]
+		if a.Job.Entitled != b.Job.Entitled {
+			return a.Job.Entitled
+		}
+		return order(a, b)
+	})
+	pl.owed = true
+	defer func() { pl.owed = false }()
+	var failed []*Job
+	for _, w := range waiting {
+		n := pl.owedTasks(w)
+		if n > 0 {
+			pl.try(&Waiting{Job: w.Job, Indexes: w.Indexes[:n], Lost: w.Lost}, &failed)
+		}
+		if n < len(w.Indexes) {
+			rest = append(rest, &Waiting{Job: w.Job, Indexes: w.Indexes[n:], Lost: w.Lost})
+		}
+	}
+	return rest
+}
+
+// owedTasks is how many of the waiting tasks are within their team's guarantee. What
+// starts only whole is whole or not at all.
+func (pl *planner) owedTasks(w *Waiting) int {
+	j := w.Job
+	owed := pl.draft.Owed(j.Team)
+	if owed == (quota.Amount{}) {
+		return 0
+	}
+	n := owed.Tasks(j.amount(), len(w.Indexes))
+	if n < len(w.Indexes) && (j.Group || j.SamePlace && !j.anywhere()) {
+		return 0
+	}
+	return n
+}
+
+// try places as many of a job's waiting tasks as it can.
+func (pl *planner) try(w *Waiting, failed *[]*Job) (placed int) {
+	j := w.Job
+	switch {
+	case dominated(j, *failed):
+		pl.out.Unplaced[j.UID] += len(w.Indexes)
+	case j.Group:
+		pl.group(w)
+	case j.SamePlace && !j.anywhere():
+		pl.gang(w)
+	default:
+		return pl.some(w, failed, true)
+	}
+	return 0
+}
+
+// byShape divides what waits into services, which go before the repair so that
+// replacing a lost replica never waits behind a move, and the rest, which goes after it.
+func byShape(waiting []*Waiting) (services, others []*Waiting) {
+	for _, w := range waiting {
+		if w.Job.Standing {
 			services = append(services, w)
-		default:
+		} else {
 			others = append(others, w)
 		}
 	}
-	return entitled, services, others
+	return services, others
 }
 
 // launch places waiting tasks, and gives the turns that are left of the picture's.
@@ -291,19 +357,7 @@
 	failed = nil
 	for _, w := range rest {
 		j := w.Job
-		if dominated(j, failed) {
-			pl.out.Unplaced[j.UID] += len(w.Indexes)
-			continue
-		}
-		if j.Group {
-			pl.group(w)
-			continue
-		}
-		if j.SamePlace && !j.anywhere() {
-			pl.gang(w)
-			continue
-		}
-		placed := pl.some(w, &failed, true)
+		placed := pl.try(w, &failed)
 		if j.Priority > turns.lowest && !first(w) {
 			turns.left += placed
 		}
@@ -811,15 +865,22 @@
 		cores, accel, ram := m.Cores+m.StopCores, m.Accel+m.StopAccel, m.RAM+m.StopRAM
 		var set []int
 		var cost clock.Micros
+		var stopped map[string]quota.Amount // by team, where there are guarantees
 		for i := range m.Lower {
 			if enough(j, cores, accel, ram) {
 				break
 			}
 			v := &m.Lower[i]
-			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !pl.mayStop(j, v) {
+			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !pl.mayStop(j, v, stopped[v.team()]) {
 				continue
 			}
 			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
+			if pl.Quota.Guarantees() {
+				if stopped == nil {
+					stopped = map[string]quota.Amount{}
+				}
+				stopped[v.team()] = stopped[v.team()].Plus(v.amount())
+			}
 			cost += lost(v) + clock.Second
 			set = append(set, i)
 		}
@@ -853,27 +914,29 @@
 	return true
 }
 
-// mayStop tells whether a task may be stopped to make room for one of j. Work within
-// its team's guarantee makes way only for such work of higher priority, or either
-// would take the other's place in turn. A replica makes way only for a guarantee.
-func (pl *planner) mayStop(j *Job, v *Victim) bool {
+// mayStop tells whether a task may be stopped to make room for one of j, besides
+// others of its team that take so much. Work within its team's guarantee makes way only
+// for such work of higher priority, or either would take the other's place in turn. A
+// replica makes way only for a guarantee.
+func (pl *planner) mayStop(j *Job, v *Victim, besides quota.Amount) bool {
 	others := v.Job != nil && v.Job.Team != j.Team
+	borrowed := pl.borrowed(v, besides)
 	switch {
 	case v.Replica:
-		return others && j.Entitled && pl.borrowed(v)
-	case others && v.Job.Entitled && !j.Entitled:
+		return others && pl.owed && borrowed
+	case others && !pl.owed && !borrowed && pl.Quota.Limits(v.Job.Team).Guaranteed():
 		return false
 	}
-	return v.Priority < j.Priority || j.Entitled && pl.borrowed(v)
+	return v.Priority < j.Priority || pl.owed && borrowed
 }
 
-// borrowed tells whether a task runs beyond its team's guarantee: all that a team
-// without one runs does. What is being stopped of a team counts no more.
-func (pl *planner) borrowed(v *Victim) bool {
-	if v.Borrowed || v.Job == nil || v.Job.Entitled {
+// borrowed tells whether a task, with others of its team that take so much, runs
+// beyond its team's guarantee: all that a team without one runs does.
+func (pl *planner) borrowed(v *Victim, besides quota.Amount) bool {
+	if v.Borrowed || v.Job == nil {
 		return v.Borrowed
 	}
-	return pl.draft.Borrows(v.Job.Team, v.amount())
+	return pl.draft.Borrows(v.Job.Team, besides.Plus(v.amount()))
 }
 
 func claim(coming, free *float64, want float64) {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -281,6 +281,9 @@
 		own.Entitled = tt.entitled
 		ledger := quota.NewLedger(map[string]quota.Limits{"guest": {Guarantee: quota.NewAmount(tt.min, 0)}, "t": {Guarantee: quota.NewAmount(16, 0)}})
 		ledger.Adopt("guest", quota.NewAmount(tt.use, 0))
+		if !tt.entitled {
+			ledger.Adopt("t", quota.NewAmount(16, 0))
+		}
 		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(2)}}, Quota: ledger})
 		if len(res.Preempt) != tt.want {
 			t.Errorf("%s: %d tasks stopped, want %d", tt.name, len(res.Preempt), tt.want)
@@ -299,7 +302,8 @@
 	service.Team, service.Priority, service.Standing = "guest", wire.RankCritical, true
 	m := machine("a", "x", 8, 8)
 	m.Held = "j-2" // not even room that is kept for the other
-	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Waiting: []Waiting{
+	ledger := quota.NewLedger(map[string]quota.Limits{"t": {Guarantee: quota.NewAmount(8, 0)}, "guest": {}})
+	res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Quota: ledger, Waiting: []Waiting{
 		{Job: guest, Indexes: indexes(1)}, {Job: service, Indexes: indexes(1)}, {Job: own, Indexes: indexes(1)}}})
 	if diff := gocmp.Diff([]Placement{{TaskID{"j-1", 0}, "a"}}, res.Launch); diff != "" {
 		t.Error(diff)
@@ -330,14 +334,21 @@
 		{"a replica within its guarantee", true, wire.RankCritical, Victim{Priority: wire.RankLow, Replica: true}, true, false},
 	} {
 		guest := newJob("j-1", 1, 8, 8)
-		guest.Team, guest.Entitled = "guest", tt.within
+		guest.Team = "guest"
+		guarantee := 0.0
+		if tt.within {
+			guarantee = 8
+		}
 		tt.victim.Task, tt.victim.Job, tt.victim.Cores, tt.victim.RAM, tt.victim.Since = TaskID{"j-1", 0}, guest, 8, 8, 50
 		m := machine("a", "x", 0, 0)
 		m.Lower = []Victim{tt.victim}
 		own := newJob("j-2", 1, 8, 8)
 		own.Entitled, own.Priority = tt.entitled, tt.priority
-		ledger := quota.NewLedger(map[string]quota.Limits{"guest": {}, "t": {Guarantee: quota.NewAmount(8, 0)}})
+		ledger := quota.NewLedger(map[string]quota.Limits{"guest": {Guarantee: quota.NewAmount(guarantee, 0)}, "t": {Guarantee: quota.NewAmount(8, 0)}})
 		ledger.Adopt("guest", quota.NewAmount(8, 0))
+		if !tt.entitled {
+			ledger.Adopt("t", quota.NewAmount(8, 0))
+		}
 		res := Make(&Picture{Machines: []*Machine{m}, Preempt: true, Now: 100, Waiting: []Waiting{{Job: own, Indexes: indexes(1)}}, Quota: ledger})
 		if got := len(res.Preempt) == 1; got != tt.want {
 			t.Errorf("%s: stopped %t, want %t", tt.name, got, tt.want)
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -47,8 +47,8 @@
 type Held struct{}
 
 // Allows implements Rule.
-func (Held) Allows(_ *Picture, j *Job, m *Machine) bool {
-	return m.Held == "" || m.Held == j.UID || j.Entitled
+func (Held) Allows(p *Picture, j *Job, m *Machine) bool {
+	return m.Held == "" || m.Held == j.UID || p.owed
 }
 
 // AllowedType keeps a job to its machine types.
--- a/quota/admission.go
+++ b/quota/admission.go
@@ -40,7 +40,7 @@
 	common      *rate.Limiter // counts every submission that is let in
 	teams       map[string]*ownShare
 
-	mu sync.Mutex // guards changes of the rates
+	mu sync.Mutex // guards the limiters: a decision and a change of rate are whole
 }
 
 // ownShare is what is kept for one team.
@@ -99,15 +99,8 @@
 // Admit lets a submission of a team in: at once by the team's own share, or when its
 // turn comes, if that is within the given patience. Otherwise it is refused at once.
 func (a *Admission) Admit(ctx context.Context, team string, patience time.Duration) error {
-	now := time.Now()
-	if own := a.teams[team]; own != nil && own.limiter.AllowN(now, 1) {
-		a.common.ReserveN(now, 1) // counted, not waited for
-		return nil
-	}
-	turn := a.common.ReserveN(now, 1)
-	wait := turn.DelayFrom(now)
-	if !turn.OK() || wait > patience {
-		turn.CancelAt(now)
+	turn, wait, ok := a.reserve(team, patience)
+	if !ok {
 		return fmt.Errorf("team %q: %w", team, ErrCrowded)
 	}
 	if wait == 0 {
@@ -124,6 +117,26 @@
 	}
 }
 
+// reserve finds a submission its turn. One at a time: a turn that is given back while
+// others are being taken would be lost to all.
+func (a *Admission) reserve(team string, patience time.Duration) (turn *rate.Reservation, wait time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	own := a.teams[team]
+	mine := own != nil && own.limiter.AllowN(now, 1)
+	turn = a.common.ReserveN(now, 1)
+	if mine {
+		return turn, 0, true // counted, not waited for
+	}
+	wait = turn.DelayFrom(now)
+	if !turn.OK() || wait > patience {
+		turn.CancelAt(now)
+		return nil, 0, false
+	}
+	return turn, wait, true
+}
+
 // Refused notes that the state service had too much to do for a user's change: fewer
 // submissions are let in from now on.
 func (a *Admission) Refused() {
--- a/quota/amount.go
+++ b/quota/amount.go
@@ -54,6 +54,16 @@
 	return Amount{Cores: a.Cores * Units(tasks), Accelerators: a.Accelerators * Units(tasks)}
 }
 
+// Tasks is how many tasks of the given amount fit into a, at most so many.
+func (a Amount) Tasks(each Amount, most int) int {
+	for _, r := range []struct{ whole, part Units }{{a.Cores, each.Cores}, {a.Accelerators, each.Accelerators}} {
+		if r.part > 0 {
+			most = min(most, int(r.whole/r.part))
+		}
+	}
+	return max(0, most)
+}
+
 // Limits are what a team may use. Zero means that there is no limit, or no guarantee,
 // for that resource.
 type Limits struct {
--- a/quota/draft.go
+++ b/quota/draft.go
@@ -41,6 +41,11 @@
 	return account, total, stopping
 }
 
+// lasting is what is left of a team's use when all that is being stopped is gone.
+func (a *account) lasting(total, stopping Amount) Amount {
+	return total.Minus(stopping).Minus(a.states[Stopping].Amount)
+}
+
 // Fits tells whether a team may use so much more.
 func (d *Draft) Fits(team string, more Amount) bool {
 	account, total, _ := d.use(team)
@@ -67,16 +72,28 @@
 	x.stopping = x.stopping.Plus(amount)
 }
 
-// Borrows tells whether a team runs more than its guarantee in a resource that a task
-// of it takes: such work may be stopped to give another team its guarantee. What is
-// being stopped counts no more, or a team would lose its own guarantee while the
-// stops of its work are under way.
-func (d *Draft) Borrows(team string, task Amount) bool {
+// Borrows tells whether tasks of a team that take so much together are beyond its guarantee:
+// stopping them leaves it what it is guaranteed, in a resource that they take. Such
+// work may be stopped to give another team its guarantee. What is being stopped already counts no
+// more, or a team would lose its own guarantee while the stops of its work are under way.
+func (d *Draft) Borrows(team string, tasks Amount) bool {
 	account, total, stopping := d.use(team)
 	if account == nil {
 		return false
 	}
-	left := total.Minus(stopping).Minus(account.states[Stopping].Amount)
+	left := account.lasting(total, stopping).Minus(tasks)
 	guarantee := account.limits.Guarantee
-	return left.Cores > guarantee.Cores || task.Accelerators > 0 && left.Accelerators > guarantee.Accelerators
+	return tasks.Cores > 0 && left.Cores >= guarantee.Cores ||
+		tasks.Accelerators > 0 && left.Accelerators >= guarantee.Accelerators
+}
+
+// Owed is how much more a team may run within its guarantee. What is being stopped
+// counts no more.
+func (d *Draft) Owed(team string) Amount {
+	account, total, stopping := d.use(team)
+	if account == nil {
+		return Amount{}
+	}
+	owed := account.limits.Guarantee.Minus(account.lasting(total, stopping))
+	return Amount{Cores: max(0, owed.Cores), Accelerators: max(0, owed.Accelerators)}
 }
--- a/quota/entitlement.go
+++ b/quota/entitlement.go
@@ -24,14 +24,7 @@
 }
 
 // Guarantees tells whether any team has a guarantee.
-func (l *Ledger) Guarantees() bool {
-	for _, a := range l.accounts {
-		if a.limits.Guaranteed() {
-			return true
-		}
-	}
-	return false
-}
+func (l *Ledger) Guarantees() bool { return l != nil && l.guarantees }
 
 // GuaranteedInAll is the sum of all guarantees.
 func (l *Ledger) GuaranteedInAll() (sum Amount) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -77,7 +77,8 @@
 
 // Ledger is what all teams use. It has no lock: the leader's own guards it.
 type Ledger struct {
-	accounts map[string]*account
+	accounts   map[string]*account
+	guarantees bool // some team has one
 }
 
 // NewLedger makes an empty ledger of teams with the given limits.
@@ -85,6 +86,7 @@
 	l := &Ledger{accounts: make(map[string]*account, len(teams))}
 	for name, limits := range teams {
 		l.accounts[name] = &account{limits: limits}
+		l.guarantees = l.guarantees || limits.Guaranteed()
 	}
 	return l
 }
@@ -213,6 +215,9 @@
 
 // Limits are a team's limits.
 func (l *Ledger) Limits(team string) Limits {
+	if l == nil {
+		return Limits{}
+	}
 	if a := l.accounts[team]; a != nil {
 		return a.limits
 	}
--- /dev/null
+++ b/quota_test.go
@@ -0,0 +1,243 @@
+package cedardoor
+
+import (
+	"cedardoor/config"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cedardoor/quota"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+// A leader is paused right after it has reserved a team's last room and before that is
+// durable. Its successor uses the room. When the first wakes, its record fails and
+// nothing of what it reserved is ever started.
+func TestLeaderWakesAfterItsSuccessorUsedTheRoom(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(limited(4)), s.node(limited(4))
+	ga, stop := s.elect(a)
+	w, other := s.worker("n-1", "x", true), s.worker("n-2", "y", true)
+	heartbeat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
+	s.resync(ga)
+	ga.mu.Lock()
+	ga.plan(ga.ck.Now())
+	reserved := ga.quota.Usage("team").Of(quota.Booked)
+	held := ga.collect()
+	ga.mu.Unlock()
+	if reserved.Tasks != 2 || held == nil {
+		t.Fatalf("reserved %+v, want the team's whole room", reserved)
+	}
+	stop() // it sleeps from here
+	gb, _ := s.elect(b)
+	heartbeat(t, gb, other)
+	s.settle(gb)
+	if got := other.Live(); len(got) != 2 {
+		t.Fatalf("the successor's tasks: %v", got)
+	}
+	if ga.record(t.Context(), held) {
+		t.Error("the paused leader's record passes for durable")
+	}
+	ga.dispatch(t.Context())
+	rep := w.Report()
+	if ans, ok := ga.Heartbeat(&rep); ok {
+		t.Errorf("the paused leader answers a heartbeat: %+v", ans)
+	}
+	if got := w.Starts(); len(got) != 0 {
+		t.Errorf("the paused leader's tasks started: %v", got)
+	}
+}
+
+// Under lower limits after a restart, what runs goes on and counts; nothing starts until
+// enough of it is proved gone.
+func TestOtherLimitsAfterARestart(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(limited(8)), s.node(limited(4))
+	ga, stop := s.elect(a)
+	w := s.worker("n-1", "x", true)
+	heartbeat(t, ga, w)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 6 }))
+	s.resync(ga)
+	s.settle(ga)
+	heartbeat(t, ga, w)
+	first := w.Live()
+	if len(first) != 4 {
+		t.Fatalf("four tasks of 2 cores under a limit of 8: %v", first)
+	}
+	stop()
+	gb, _ := s.elect(b)
+	started := len(w.Starts())
+	for _, task := range first {
+		heartbeat(t, gb, w)
+		s.settle(gb)
+		if got := len(w.Live()); got > 4 {
+			t.Fatalf("%d tasks run", got)
+		}
+		gb.mu.Lock()
+		use := gb.quota.Usage("team")
+		gb.mu.Unlock()
+		if grown := len(w.Starts()) - started; grown > 0 && use.Total.Cores > quota.ToUnits(4) {
+			t.Fatalf("%d tasks started while the team uses %v of 4", grown, use.Total.Cores.Decimal())
+		}
+		w.End(task, wire.CauseDone)
+	}
+	heartbeat(t, gb, w)
+	s.settle(gb)
+	if got := w.Live(); len(got) != 2 {
+		t.Errorf("the last two tasks: %v", got)
+	}
+}
+
+// A limit that is smaller than one task: its submission is refused for good; a job that
+// was accepted under a higher limit waits and stays known, and no machine is rented for it.
+func TestLimitSmallerThanOneTask(t *testing.T) {
+	s := newSite(t)
+	a, b := s.node(limited(4)), s.node(limited(1))
+	_, stop := s.elect(a)
+	s.submit(a, spec("j-1", func(sp *wire.Spec) { sp.Loaned = false }))
+	stop()
+	gb, _ := s.elect(b)
+	b.term.Store(gb)
+	if code, _, _ := s.ask(b, http.MethodPost, wire.PathRuns, spec("j-2", nil)); code != http.StatusUnprocessableEntity {
+		t.Errorf("a task of 2 cores under a limit of 1: status %d, want 422", code)
+	}
+	if code, v, _ := s.ask(b, http.MethodGet, wire.PathRuns+"/j-1", nil); code != http.StatusOK || v.Status != wire.JobQueued {
+		t.Errorf("the accepted job: %d %+v", code, v)
+	}
+	gb.mu.Lock()
+	need, bound := gb.demand(gb.ck.Now()), gb.bound(nil)
+	gb.mu.Unlock()
+	if need.Ordinary.Cores > 0 || need.Loaned.Cores > 0 || len(bound) > 0 {
+		t.Errorf("machines are wanted for what may not run: %+v, %+v", need, bound)
+	}
+	reports, ok := gb.teamReports()
+	if !ok || teamNamed(t, quota.Report{Teams: reports}, "team").Waiting.Reasons[quota.ReasonLimit] != 1 {
+		t.Errorf("reports %+v", reports)
+	}
+}
+
+// Ends of attempts that are reported late, twice, or of an earlier attempt free nothing
+// of the present one's room.
+func TestLateEndsFreeNothing(t *testing.T) {
+	s := newSite(t)
+	n := s.node(limited(2))
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	heartbeat(t, g, w)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces = 2 }))
+	s.resync(g)
+	s.settle(g)
+	running := w.Live()
+	if len(running) != 1 {
+		t.Fatalf("one task of 2 cores under a limit of 2: %v", running)
+	}
+	heartbeat(t, g, w)
+	w.End(running[0], wire.CauseDone)
+	late := w.Report() // of the first task's end
+	for range 3 {
+		heartbeat(t, g, w)
+		s.settle(g)
+	}
+	if got := w.Live(); len(got) != 1 || got[0] == running[0] {
+		t.Fatalf("after the first task's end: %v", got)
+	}
+	used := func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.quota.Usage("team").Total.Cores.Decimal()
+	}
+	for range 2 {
+		if _, ok := g.Heartbeat(&late); !ok {
+			t.Fatal("not answered")
+		}
+		if got := used(); got != 2 {
+			t.Errorf("after a late copy: %v in use, want 2", got)
+		}
+	}
+	s.settle(g)
+	if got := w.Starts(); len(got) != 2 {
+		t.Errorf("starts %v, want each task once", got)
+	}
+}
+
+// Bad input gets what the protocol says and leaves the ledger alone.
+func TestBadSubmissionsLeaveTheLedgerAlone(t *testing.T) {
+	s := newSite(t)
+	n := s.node(limited(4))
+	g, _ := s.elect(n)
+	for name, tt := range map[string]struct {
+		mod  func(m map[string]any)
+		want int
+	}{
+		"unknown team":       {func(m map[string]any) { m["owner"] = "nobody" }, http.StatusUnprocessableEntity},
+		"no team":            {func(m map[string]any) { delete(m, "owner") }, http.StatusBadRequest},
+		"negative cores":     {func(m map[string]any) { m["cores"] = -1.0 }, http.StatusBadRequest},
+		"missing cores":      {func(m map[string]any) { delete(m, "cores") }, http.StatusBadRequest},
+		"cores as text":      {func(m map[string]any) { m["cores"] = "2" }, http.StatusBadRequest},
+		"absurd cores":       {func(m map[string]any) { m["cores"] = 1e300 }, http.StatusUnprocessableEntity},
+		"more than a limit":  {func(m map[string]any) { m["cores"] = 5.0 }, http.StatusUnprocessableEntity},
+		"negative memory":    {func(m map[string]any) { m["ram_gb"] = -0.5 }, http.StatusBadRequest},
+		"negative tasks":     {func(m map[string]any) { m["pieces"] = -3 }, http.StatusBadRequest},
+		"no tasks":           {func(m map[string]any) { m["pieces"] = 0 }, http.StatusBadRequest},
+		"absurdly many":      {func(m map[string]any) { m["pieces"] = 1 << 40 }, http.StatusBadRequest},
+		"negative GPUs":      {func(m map[string]any) { m["accelerators"] = -1.0 }, http.StatusBadRequest},
+		"service over limit": {func(m map[string]any) { m["shape"], m["pieces"] = wire.ShapeStanding, 3 }, http.StatusUnprocessableEntity},
+	} {
+		if code, _, _ := s.ask(n, http.MethodPost, wire.PathRuns, bodyOf(t, spec("j-1", nil), tt.mod)); code != tt.want {
+			t.Errorf("%s: status %d, want %d", name, code, tt.want)
+		}
+	}
+	s.resync(g)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if use := g.quota.Usage("team"); use.Total != (quota.Amount{}) || len(g.jobs) > 0 || len(s.state.Keys(store.PrefixJob)) > 0 {
+		t.Errorf("%+v in use, %d jobs", use, len(g.jobs))
+	}
+	if got := fmt.Sprint(g.quota.Teams()); got != "[team]" {
+		t.Errorf("teams %s", got)
+	}
+}
+
+// Work within a team's guarantee takes the place of what another team runs beyond its
+// own, whatever the priorities, and what it took the place of does not take it back.
+func TestGuaranteeIsGivenBack(t *testing.T) {
+	s := newSite(t)
+	n := s.node(func(f *config.Facts) {
+		f.Teams = append(f.Teams, config.Team{Name: "owner", CPUs: 2})
+	})
+	g, _ := s.elect(n)
+	w := s.worker("n-1", "x", true)
+	heartbeat(t, g, w)
+	s.submit(n, spec("j-1", func(sp *wire.Spec) { sp.Pieces, sp.Rank = 8, "high" }))
+	s.resync(g)
+	s.settle(g)
+	heartbeat(t, g, w)
+	if got := w.Live(); len(got) != 4 {
+		t.Fatalf("four tasks of 2 cores on 8: %v", got)
+	}
+	for i := range 3 {
+		s.submit(n, spec(fmt.Sprintf("j-%d", i+2), func(sp *wire.Spec) { sp.Owner, sp.Rank, sp.Cores = "owner", "low", 1 }))
+	}
+	s.resync(g)
+	for range 6 {
+		s.settle(g)
+		heartbeat(t, g, w)
+		s.advance(time.Second)
+	}
+	own := 0
+	for _, task := range w.Live() {
+		if !strings.HasPrefix(task, "j-1/") {
+			own++
+		}
+	}
+	if len(w.Live()) != 5 || own != 2 {
+		t.Errorf("%v run, want two of the guaranteed team's", w.Live())
+	}
+	if starts := len(w.Starts()); starts != 4+2 {
+		t.Errorf("%d starts, want 6: nothing is pushed to and fro", starts)
+	}
+}
--- a/service.go
+++ b/service.go
@@ -22,6 +22,7 @@
 	"cedardoor/config"
 	"cedardoor/lead"
 	"cedardoor/peer"
+	"cedardoor/quota"
 	"cedardoor/store"
 	"cedardoor/wire"
 
@@ -47,6 +48,8 @@
 	front   *chi.Mux
 	socks   sockets
 	teams   teamsView
+	// newLedger makes the ledger of a term; tests put a broken one in its place.
+	newLedger func(teams map[string]quota.Limits) *quota.Ledger
 	// relayAfter is when relaying is worth trying again, on the steady clock.
 	relayAfter atomic.Int64
 
@@ -61,7 +64,7 @@
 }
 
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
-	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}}
+	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}, newLedger: quota.NewLedger}
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
--- a/sizing.go
+++ b/sizing.go
@@ -274,20 +274,12 @@
 // what it uses. Machines for the rest would stand idle.
 type parts map[string]float64
 
-// of is how many of a job's waiting tasks its team's limit lets run.
-func (p parts) of(j *job, waiting int) float64 {
-	if part, limited := p[j.spec.Owner]; limited {
-		return part * float64(waiting)
-	}
-	return float64(waiting)
-}
-
 // grantable asks the ledger for the parts of the waiting work that may run. The caller
 // holds mu.
 func (g *term) grantable() parts {
 	waiting := map[string]quota.Amount{}
 	for j := range g.queue {
-		if j.cancelled || j.trial.bad || !g.quota.Limits(j.spec.Owner).Limited() {
+		if j.cancelled || j.trial.bad || !g.quota.Limits(j.spec.Owner).Limited() || !g.mayGrow(j) {
 			continue
 		}
 		_, left := j.unfinished()
@@ -300,6 +292,18 @@
 	return out
 }
 
+// mayRun is how many of a job's waiting tasks its team's limit lets run. The caller holds mu.
+func (g *term) mayRun(j *job, waiting int, grantable parts) float64 {
+	part, limited := grantable[j.spec.Owner]
+	switch {
+	case !g.mayGrow(j):
+		return 0
+	case limited:
+		return part * float64(waiting)
+	}
+	return float64(waiting)
+}
+
 // demand sums up the work there is. The caller holds mu.
 //
 // Loaned work is served by a fleet that follows the rate at which work
@@ -321,7 +325,7 @@
 			continue // it is tried now and then, but nothing is rented for it
 		}
 		placed, left := j.unfinished()
-		running, waiting := float64(placed), grantable.of(j, left)
+		running, waiting := float64(placed), g.mayRun(j, left, grantable)
 		add := func(l *cloud.Load, n float64) {
 			l.Cores += n * s.Cores
 			l.RAM += n * s.RAM
