Move the listener and the budget of connections into connlimit; the field's names; nothing else

Need: the root package is too large and speaks a language of its own (gate, guest, sockets, flights). Change: gate.go becomes connlimit, with Listener, Budget and Outgoing; its tests move with it, as strict.

--- a/bench_test.go
+++ b/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cedardoor/connlimit"
 	"fmt"
 	"io"
 	"net"
@@ -70,10 +71,10 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	gt := newGate(ln, 1000, outgoing{workers: g.workers}, g.ck, g.log)
+	limited := connlimit.New(ln, 1000, connlimit.Outgoing{Workers: g.workers}, g.ck, g.log)
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
-		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ConnState: gt.note}
-	go srv.Serve(gt)
+		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ConnState: limited.ConnState}
+	go srv.Serve(limited)
 	tb.Cleanup(func() { srv.Close() })
 	return ln.Addr().String()
 }
--- a/gate_test.go
+++ b/connlimit/listener_test.go
@@ -1,4 +1,4 @@
-package cedardoor
+package connlimit
 
 import (
 	"bytes"
@@ -34,13 +34,19 @@
 func (s scripted) Close() error   { return nil }
 func (s scripted) Addr() net.Addr { return &net.TCPAddr{} }
 
+// nobodyLeads answers no heartbeat.
+type nobodyLeads struct{}
+
+func (nobodyLeads) Heartbeat(*wire.Beat) (wire.BeatAnswer, bool) { return wire.BeatAnswer{}, false }
+func (nobodyLeads) Leader() string                               { return "" }
+
 // When connections run short, heartbeats are still answered: their answers ask for
 // a close, idle connections make way, and what has no room is turned away at
 // once instead of hanging in the backlog.
 func TestConnectionsRunShort(t *testing.T) {
 	const most = 16
 	in := scripted{make(chan net.Conn, 2*most)}
-	g := newGate(in, most, outgoing{workers: agent.NewClient(1)}, clock.New(clockwork.NewFakeClock()), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	limited := New(in, most, Outgoing{Workers: agent.NewClient(1)}, clock.New(clockwork.NewFakeClock()), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	dial := func() (far net.Conn) {
 		far, near := net.Pipe()
 		in.conns <- near
@@ -54,7 +60,7 @@
 	heartbeat := func() *httptest.ResponseRecorder {
 		rec := httptest.NewRecorder()
 		body, _ := wire.Marshal(map[string]any{"host": "n-1", "tenure": 1, "tally": 1, "warrant": 0, "pieces": []any{}})
-		agent.ServeHeartbeat(&Service{}, g.Short)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(body[:len(body)-1])))
+		agent.ServeHeartbeat(nobodyLeads{}, limited.Short)(rec, httptest.NewRequest(http.MethodPost, wire.PathBeat, bytes.NewReader(body[:len(body)-1])))
 		return rec
 	}
 	var far []net.Conn
@@ -64,40 +70,40 @@
 			t.Errorf("with %d of %d connections, the answer to a heartbeat asks for a close: %t", i, most, closing)
 		}
 		far = append(far, dial())
-		c, err := g.Accept()
+		c, err := limited.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
 		near = append(near, c)
 	}
-	g.note(near[3], http.StateIdle)
-	g.note(near[5], http.StateIdle)
-	g.note(near[3], http.StateActive)
+	limited.ConnState(near[3], http.StateIdle)
+	limited.ConnState(near[5], http.StateIdle)
+	limited.ConnState(near[3], http.StateActive)
 	dial()
-	if _, err := g.Accept(); err != nil || !closed(far[5]) || closed(far[3]) {
+	if _, err := limited.Accept(); err != nil || !closed(far[5]) || closed(far[3]) {
 		t.Fatalf("the idle connection did not make way: %v", err)
 	}
 	away := dial()
 	close(in.conns)
-	if _, err := g.Accept(); err == nil || !closed(away) {
+	if _, err := limited.Accept(); err == nil || !closed(away) {
 		t.Error("a connection without room was not turned away at once")
 	}
 	// What ends makes room, and ends once only.
 	near[0].Close()
 	near[0].Close()
 	near[5].Close()
-	if g.open != most-1 {
-		t.Errorf("%d connections counted, want %d", g.open, most-1)
+	if limited.open != most-1 {
+		t.Errorf("%d connections counted, want %d", limited.open, most-1)
 	}
 }
 
 // Whatever a process may open, the parts stay within it. Idle connections to workers
-// have no part of their own, they stand in the gate's.
+// have no part of their own, they stand in the clients'.
 func TestSocketsAreDivided(t *testing.T) {
 	for _, limit := range []int{64, 256, 1200, 2061, 2858, 4096} {
-		s := divide(limit, 80)
-		if sum := s.flights + s.probes + s.gate + min(own, limit/4); sum > limit || s.gate < limit/3 || s.kept >= s.gate || s.kept > 240 {
-			t.Errorf("of %d: %+v", limit, s)
+		b := Divide(limit, 80)
+		if sum := b.Commands + b.Questions + b.Clients + min(ownConns, limit/4); sum > limit || b.Clients < limit/3 || b.KeepIdle >= b.Clients || b.KeepIdle > 240 {
+			t.Errorf("of %d: %+v", limit, b)
 		}
 	}
 }
@@ -109,16 +115,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := standin.NewNetwork()
 		defer network.CloseAll()
-		dialMu.Lock()
 		realDial := link.Dial
 		link.Dial = network.Dialer("node-1")
 		workers := agent.NewClient(8)
 		link.Dial = realDial
-		dialMu.Unlock()
 		const most = 16
 		in := scripted{make(chan net.Conn, most)}
-		g := newGate(in, most, outgoing{workers: workers, own: 2, few: 1}, clock.New(clockwork.NewFakeClock()), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		workers.Short = g.Full
+		limited := New(in, most, Outgoing{Workers: workers, InUse: 2, KeepIdle: 1}, clock.New(clockwork.NewFakeClock()), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		workers.Short = limited.Full
 		body, err := wire.Marshal(wire.Beat{Host: "n-1", Endpoint: "n-1:1", Build: "b", Yard: "x", Tenure: 1, Tally: 1})
 		if err != nil {
 			t.Fatal(err)
@@ -136,7 +140,7 @@
 			for range n {
 				_, near := net.Pipe()
 				in.conns <- near
-				if _, err := g.Accept(); err != nil {
+				if _, err := limited.Accept(); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -149,8 +153,8 @@
 			t.Fatalf("%d connections to workers are kept while there is room, want 8", got)
 		}
 		come(8) // 8 of 16, and 6 beyond the workers' own part
-		if g.Short() || workers.Open() != 8 {
-			t.Errorf("short: %t, kept: %d", g.Short(), workers.Open())
+		if limited.Short() || workers.Open() != 8 {
+			t.Errorf("short: %t, kept: %d", limited.Short(), workers.Open())
 		}
 		if got := ask(); got != 6 {
 			t.Errorf("%d are kept, want as many as leave a quarter free", got)
@@ -163,13 +167,13 @@
 		if got := ask(); got != 8 {
 			t.Fatalf("%d connections to workers are kept, want 8", got)
 		}
-		if g.Short() || workers.Open() != 0 {
-			t.Errorf("short: %t, with %d connections to workers idle", g.Short(), workers.Open())
+		if limited.Short() || workers.Open() != 0 {
+			t.Errorf("short: %t, with %d connections to workers idle", limited.Short(), workers.Open())
 		}
 		ask()
 		come(5) // nobody is turned away while idle ones to workers are there
-		if workers.Open() != 0 || g.away != 0 || g.open != most {
-			t.Errorf("%d connections to workers idle, %d held, %d turned away", workers.Open(), g.open, g.away)
+		if workers.Open() != 0 || limited.refused != 0 || limited.open != most {
+			t.Errorf("%d connections to workers idle, %d held, %d turned away", workers.Open(), limited.open, limited.refused)
 		}
 	})
 }
--- a/engine.go
+++ b/engine.go
@@ -13,6 +13,7 @@
 	"cedardoor/clock"
 	"cedardoor/cloud"
 	"cedardoor/config"
+	"cedardoor/connlimit"
 	"cedardoor/fleet"
 	"cedardoor/lead"
 	"cedardoor/plan"
@@ -126,7 +127,7 @@
 	met     *Metrics
 	r       lead.Term
 
-	socks sockets
+	budget connlimit.Budget
 
 	kick chan struct{}
 
@@ -205,7 +206,7 @@
 	ledger := s.newLedger(config.TeamLimits(s.cfg.Facts.Teams))
 	g := &term{
 		quota: ledger,
-		cfg:   s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, socks: s.socks,
+		cfg:   s.cfg, op: s.op, ck: s.ck, st: s.st, el: s.el, workers: s.workers, cl: s.cl, log: s.log, met: s.met, r: r, budget: s.budget,
 		kick: make(chan struct{}, 1), awake: r.Since,
 		fl:   fleet.New(clock.FromSeconds(w.LeaseS), clock.FromSeconds(w.ReportS), r.Token, ledger),
 		jobs: map[string]*job{}, dirty: map[string]bool{}, busy: map[string]bool{},
--- a/service.go
+++ b/service.go
@@ -20,6 +20,7 @@
 	"cedardoor/clock"
 	"cedardoor/cloud"
 	"cedardoor/config"
+	"cedardoor/connlimit"
 	"cedardoor/lead"
 	"cedardoor/peer"
 	"cedardoor/quota"
@@ -46,7 +47,7 @@
 	met     *Metrics
 	term    atomic.Pointer[term]
 	front   *chi.Mux
-	socks   sockets
+	budget  connlimit.Budget
 	teams   teamsView
 	// newLedger makes the ledger of a term; tests put a broken one in its place.
 	newLedger func(teams map[string]quota.Limits) *quota.Ledger
@@ -68,8 +69,8 @@
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
-	s.socks = divide(f.Limits.FDLimit, f.Limits.MemMB)
-	s.workers = agent.NewClient(s.socks.kept)
+	s.budget = connlimit.Divide(f.Limits.FDLimit, f.Limits.MemMB)
+	s.workers = agent.NewClient(s.budget.KeepIdle)
 	for _, o := range cfg.Others {
 		s.links[o.Node] = peer.NewLink(o.Addr)
 		s.relays[o.Node] = peer.NewLink(o.Addr)
@@ -99,15 +100,16 @@
 		front.Close()
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	gate := newGate(front, s.socks.gate, outgoing{workers: s.workers, own: s.socks.flights + s.socks.probes, few: s.socks.kept / 4}, s.ck, s.log)
-	s.workers.Short = gate.Full
-	s.front.Post(wire.PathBeat, agent.ServeHeartbeat(s, gate.Short))
+	limited := connlimit.New(front, s.budget.Clients, connlimit.Outgoing{Workers: s.workers,
+		InUse: s.budget.Commands + s.budget.Questions, KeepIdle: s.budget.KeepIdle / 4}, s.ck, s.log)
+	s.workers.Short = limited.Full
+	s.front.Post(wire.PathBeat, agent.ServeHeartbeat(s, limited.Short))
 	srv := &http.Server{Handler: s.front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second,
-		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), ConnState: gate.note}
+		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), ConnState: limited.ConnState}
 	var wg sync.WaitGroup
 	failed := make(chan error, 2)
 	wg.Go(func() {
-		failed <- srv.Serve(gate)
+		failed <- srv.Serve(limited)
 	})
 	if s.op.Metrics.Listen != "" {
 		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.operators(), ReadHeaderTimeout: 10 * time.Second}
--- a/silent.go
+++ b/silent.go
@@ -180,7 +180,7 @@
 // prove asks the workers that have not shown the token they were told. The
 // caller holds mu.
 func (g *term) prove(now clock.Micros) {
-	for len(g.proofs) > 0 && now-g.proofs[0].at >= proofAfter && g.probes < g.socks.probes {
+	for len(g.proofs) > 0 && now-g.proofs[0].at >= proofAfter && g.probes < g.budget.Questions {
 		m := g.proofs[0].m
 		g.proofs = g.proofs[1:]
 		if !m.Reported && g.fl.Machine(m.Name) == m {
@@ -205,7 +205,7 @@
 
 // ask asks a worker for its report. The caller holds mu.
 func (g *term) ask(m *fleet.Machine) {
-	if m.Probing || m.Endpoint == "" || m.Returning || g.probes >= g.socks.probes || g.ctx == nil {
+	if m.Probing || m.Endpoint == "" || m.Returning || g.probes >= g.budget.Questions || g.ctx == nil {
 		return
 	}
 	m.Probing = true
--- a/step.go
+++ b/step.go
@@ -227,7 +227,7 @@
 	scope := g.scope()
 	now := g.ck.Now()
 	for m := range g.toTell {
-		if len(g.busy) >= g.socks.flights {
+		if len(g.busy) >= g.budget.Commands {
 			break
 		}
 		if g.busy[m.Name] {
