--- a/engine.go
+++ b/engine.go
@@ -66,9 +66,9 @@
 	done      int
 	chunks    []chunk
 	result    *fleet.Booking // of its only task, until that is durable
-	slab      *slab          // the record of its only task, when it has one, instead
+	shared    *sharedRecord  // the record of its only task, when it has one, instead
 	started   bool
-	trial     trial // what its tasks' failures tell of it
+	failures  failureHistory // what its tasks' failures tell of it
 	ran       runStat
 	counted   bool         // its work is among the arrivals
 	running   int          // tasks now running
@@ -103,9 +103,9 @@
 func (j *job) group() bool { return j.spec.Shape == wire.ShapeGroup }
 
 func (j *job) touch(index int) *chunk {
-	if j.slab != nil {
-		j.slab.seq++
-		return &j.slab.chunk
+	if j.shared != nil {
+		j.shared.seq++
+		return &j.shared.chunk
 	}
 	c := &j.chunks[index/store.ChunkTasks]
 	c.seq++
@@ -131,49 +131,49 @@
 
 	kick chan struct{}
 
-	mu       sync.Mutex // guards everything below
-	loaded   bool
-	fl       *fleet.Fleet
-	quota    *quota.Ledger // the only count of what teams use
-	jobs     map[string]*job
-	dirty    map[string]bool         // jobs with something to record now
-	lazy     map[string]clock.Micros // jobs with results to record, and by when
-	queue    map[*job]bool           // jobs with tasks that wait
-	slab     *slab                   // takes the single tasks of the next jobs
-	slabN    int
-	asked    map[string]clock.Micros     // machines rented by this term and not up yet, by when they were asked for
-	boots    []boot                      // how long machines took lately
-	paced    float64                     // tasks of the lowest priority that may be started
-	pacedAt  clock.Micros                // when that was counted
-	untidy   map[*slab]bool              // hold rows of jobs that are over
-	careful  int                         // transactions that still hold one change only, since one was refused
-	filings  []*filing                   // done, and still to move to their final place
-	pic      *plan.Picture               // kept up to date from what was touched
-	touched  map[*fleet.Machine]bool     // machines that the picture is behind on
-	toTell   map[*fleet.Machine]bool     // machines with orders that should not wait for a heartbeat
-	strikes  map[*fleet.Machine]*strikes // failures since anything was done there, by job
-	unheard  map[*fleet.Machine]bool     // recorded by a predecessor, and silent since
-	holds    map[string]string           // machines whose room is kept for a job
-	fresh    bool                        // jobs came that no plan has seen
-	hushAt   clock.Micros
-	probedAt clock.Micros
-	ctx      context.Context // the term's, for questions that a report raises; nil before it runs
-	triedAt  clock.Micros    // the last plan
-	entitled clock.Micros
-	probes   int
-	replicas int                     // that may be anywhere
-	probed   map[string]clock.Micros // machines asked because of an old report, and when
-	deaf     int                     // machines banned as deaf
-	proofs   []proof                 // machines that have reported but are not trusted yet, oldest first
-	mute     map[*fleet.Machine]bool // silent machines that answered no question
-	catalog  wire.Catalog
-	catStamp uint64
-	busy     map[string]bool // machines with a /do in flight
-	seq      uint64
-	repairAt clock.Micros
-	raisedAt clock.Micros
-	awake    clock.Micros // since when this process has not stood still
-	pulsed   clock.Micros // when that was last looked at
+	mu             sync.Mutex // guards everything below
+	loaded         bool
+	fl             *fleet.Fleet
+	quota          *quota.Ledger // the only count of what teams use
+	jobs           map[string]*job
+	dirty          map[string]bool         // jobs with something to record now
+	lazy           map[string]clock.Micros // jobs with results to record, and by when
+	queue          map[*job]bool           // jobs with tasks that wait
+	shared         *sharedRecord           // takes the single tasks of the next jobs
+	sharedCount    int
+	asked          map[string]clock.Micros     // machines rented by this term and not up yet, by when they were asked for
+	boots          []boot                      // how long machines took lately
+	paced          float64                     // tasks of the lowest priority that may be started
+	pacedAt        clock.Micros                // when that was counted
+	untidy         map[*sharedRecord]bool      // hold rows of jobs that are over
+	careful        int                         // transactions that still hold one change only, since one was refused
+	finalMoves     []*finalMove                // done, and still to move to their final place
+	pic            *plan.Picture               // kept up to date from what was touched
+	touched        map[*fleet.Machine]bool     // machines that the picture is behind on
+	toTell         map[*fleet.Machine]bool     // machines with orders that should not wait for a heartbeat
+	strikes        map[*fleet.Machine]*strikes // failures since anything was done there, by job
+	unheard        map[*fleet.Machine]bool     // recorded by a predecessor, and silent since
+	holds          map[string]string           // machines whose room is kept for a job
+	fresh          bool                        // jobs came that no plan has seen
+	hushAt         clock.Micros
+	probedAt       clock.Micros
+	ctx            context.Context // the term's, for questions that a report raises; nil before it runs
+	triedAt        clock.Micros    // the last plan
+	entitled       clock.Micros
+	probes         int
+	replicas       int                     // that may be anywhere
+	probed         map[string]clock.Micros // machines asked because of an old report, and when
+	deaf           int                     // machines banned as deaf
+	proofs         []proof                 // machines that have reported but are not trusted yet, oldest first
+	mute           map[*fleet.Machine]bool // silent machines that answered no question
+	catalog        wire.Catalog
+	catStamp       uint64
+	busy           map[string]bool // machines with a /do in flight
+	seq            uint64
+	repairAt       clock.Micros
+	raisedAt       clock.Micros
+	awake          clock.Micros // since when this process has not stood still
+	stallCheckedAt clock.Micros // when that was last looked at
 	// repeatsAt is when repeats of direct commands were last looked for.
 	repeatsAt clock.Micros
 	arrivals  []sample // loaned work that arrived within the window
@@ -189,7 +189,7 @@
 	hireSeq   int
 	refused   map[string]clock.Micros
 	heard     clock.Micros // the last heartbeat of any worker
-	// What is known of the changes of jobs; see knowledge.go.
+	// What is known of the changes of jobs; see changes.go.
 	known     uint64                // the epoch up to which all are, as of a time when nobody else could lead
 	caught    uint64                // the spell that they were last read after
 	stood     uint64                // times at which this process had stood still
@@ -213,7 +213,7 @@
 		pending: map[string]*hire{}, refused: map[string]clock.Micros{},
 		classes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
-		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*slab]bool{}, asked: map[string]clock.Micros{},
+		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*sharedRecord]bool{}, asked: map[string]clock.Micros{},
 		calledOff: map[*job]clock.Micros{},
 		unheard:   map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
@@ -279,7 +279,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { g.watchJobs(ctx, epoch) })
 	wg.Go(func() { g.sizeLoop(ctx) })
-	wg.Go(func() { g.pulseLoop(ctx) })
+	wg.Go(func() { g.stallLoop(ctx) })
 	g.loop(ctx)
 	wg.Wait()
 	return nil
@@ -299,7 +299,7 @@
 	if err != nil {
 		return 0, err
 	}
-	slabs, _, err := g.st.List(ctx, store.Urgent, store.PrefixSlab)
+	sharedRecords, _, err := g.st.List(ctx, store.Urgent, store.PrefixShared)
 	if err != nil {
 		return 0, err
 	}
@@ -319,7 +319,7 @@
 		there[uid] = true
 		if over := store.OverIn(row.Value); over != nil {
 			left[uid], done[uid] = leftOf(uid, over), true
-			g.filings = append(g.filings, &filing{uid: uid, stamp: row.Stamp, rec: *over})
+			g.finalMoves = append(g.finalMoves, &finalMove{uid: uid, stamp: row.Stamp, rec: *over})
 		}
 	}
 	var names []string
@@ -328,8 +328,8 @@
 			names = append(names, uid)
 		}
 	}
-	shared := make([]store.SlabRecord, len(slabs))
-	for i, row := range slabs {
+	shared := make([]store.SharedRecord, len(sharedRecords))
+	for i, row := range sharedRecords {
 		if err := wire.Unmarshal(row.Value, &shared[i]); err != nil {
 			return 0, fmt.Errorf("record %s: %w", row.Path, err)
 		}
@@ -419,8 +419,8 @@
 			g.adopt(j, base+p.Index, p, now)
 		}
 	}
-	for i, row := range slabs {
-		s := &slab{key: row.Path, n: store.SlabJobs}
+	for i, row := range sharedRecords {
+		s := &sharedRecord{key: row.Path, n: store.SharedJobs}
 		s.stamp = row.Stamp
 		for _, r := range shared[i].Rows {
 			j := g.jobs[r.UID]
@@ -435,7 +435,7 @@
 				s.seq++ // nothing of it can be anywhere: its row goes
 				continue
 			}
-			j.slab = s
+			j.shared = s
 			s.jobs = append(s.jobs, j)
 			g.adopt(j, 0, store.Placed{Attempt: r.Attempt, Host: r.Host, Session: r.Session}, now)
 		}
@@ -463,8 +463,8 @@
 		}
 		// What a predecessor knew of a job that fails everywhere went with it: one all
 		// of whose attempts are over without any result is tried with one task first.
-		j.trial.good = j.done > 0
-		j.trial.wary = j.started && j.done == 0 && len(j.waiting) == len(j.tasks)
+		j.failures.good = j.done > 0
+		j.failures.wary = j.started && j.done == 0 && len(j.waiting) == len(j.tasks)
 	}
 	g.loaded = true
 	g.read(epoch, began, spell, held)
@@ -654,8 +654,8 @@
 		j.running--
 	}
 	c := j.touch(b.Task.Index)
-	if j.slab != nil && g.slab != j.slab && j.slab.stamp > 0 {
-		g.untidy[j.slab] = true
+	if j.shared != nil && g.shared != j.shared && j.shared.stamp > 0 {
+		g.untidy[j.shared] = true
 	}
 	if j.cancelled {
 		g.dirty[j.uid] = true
@@ -663,7 +663,7 @@
 		return
 	}
 	g.later(j, now)
-	if j.slab != nil && b.Cause == wire.CauseDone && !gone {
+	if j.shared != nil && b.Cause == wire.CauseDone && !gone {
 		// Its row in the shared record does not hold the result: the end of the job does.
 		j.result = b
 	} else {
@@ -688,10 +688,10 @@
 			delete(g.strikes, m)
 			g.touched[m] = true
 		}
-		if j.trial.doubtful() {
+		if j.failures.doubtful() {
 			g.works(j, now)
 		}
-		j.trial.good = true
+		j.failures.good = true
 		// The start of an adopted attempt was not seen: it would look short, and
 		// every other machine slow beside it.
 		if b.Running > 0 && !b.Adopted {
--- a/trial.go
+++ b/failures.go
@@ -6,11 +6,11 @@
 	"cedardoor/wire"
 )
 
-// trial is what a job's own failures tell of it. A task may fail because its
+// failureHistory is what a job's own failures tell of it. A task may fail because its
 // machine is sick, or because the job was submitted with a mistake and fails
 // everywhere: one failure looks like the other. Neither the machine nor the job
 // is judged by a failure until the job has shown, elsewhere, which of them it is.
-type trial struct {
+type failureHistory struct {
 	good    bool           // a task of it was done, or has run on longer than those that failed
 	bad     bool           // its tasks failed on several machines and succeeded on none
 	wary    bool           // a predecessor's attempts of it all ended without a result
@@ -23,7 +23,7 @@
 }
 
 // doubtful tells whether the job has failed and never yet succeeded.
-func (t *trial) doubtful() bool { return !t.good && (t.wary || len(t.faults) > 0) }
+func (t *failureHistory) doubtful() bool { return !t.good && (t.wary || len(t.faults) > 0) }
 
 const (
 	// badOn is on how many machines a job must have failed, and succeeded on none,
@@ -47,7 +47,7 @@
 // failed takes in that a task of j failed on m after running for a while. The
 // caller holds mu.
 func (g *term) failed(j *job, pc *task, m *fleet.Machine, ran, now clock.Micros) {
-	t := &j.trial
+	t := &j.failures
 	pc.fails++
 	pc.notBefore = now + 200*clock.Millisecond*clock.Micros(min(pc.fails, 25))
 	if t.faults == nil {
@@ -87,7 +87,7 @@
 // shun keeps a job's next tasks off a machine on which one failed, while there
 // are others. The caller holds mu.
 func (g *term) shun(j *job, host string) {
-	t := &j.trial
+	t := &j.failures
 	if j.pj.Shun[host] {
 		return
 	}
@@ -113,7 +113,7 @@
 func (g *term) unclear(m *fleet.Machine) (n int) {
 	if s := g.strikes[m]; s != nil {
 		for j := range s.by {
-			if !j.trial.good {
+			if !j.failures.good {
 				n++
 			}
 		}
@@ -131,7 +131,7 @@
 		return
 	}
 	for j, k := range s.by {
-		if j.trial.good {
+		if j.failures.good {
 			n += k
 		}
 	}
@@ -159,7 +159,7 @@
 
 // weigh judges a job in doubt by what has become of its tasks. The caller holds mu.
 func (g *term) weigh(j *job, now clock.Micros) {
-	t := &j.trial
+	t := &j.failures
 	if !t.doubtful() {
 		return
 	}
@@ -189,7 +189,7 @@
 	if j.running == 0 {
 		return false
 	}
-	enough := max(lastsFor, 2*j.trial.ranFor+clock.Second)
+	enough := max(lastsFor, 2*j.failures.ranFor+clock.Second)
 	for i := range j.tasks {
 		b := j.tasks[i].booking
 		if b != nil && b.Status == wire.PieceRunning && b.Running > 0 && !b.Ended && b.Machine.Reported && b.Machine.LastHeartbeat-b.Running > enough {
@@ -202,7 +202,7 @@
 // works notes that a job can succeed: where it failed, the machines are at fault.
 // The caller holds mu.
 func (g *term) works(j *job, now clock.Micros) {
-	t := &j.trial
+	t := &j.failures
 	if t.bad {
 		g.log.Info("job works after all", "job", j.uid)
 	}
@@ -220,7 +220,7 @@
 
 // acquit takes back what a job's failures said of machines. The caller holds mu.
 func (g *term) acquit(j *job) {
-	for host := range j.trial.faults {
+	for host := range j.failures.faults {
 		m := g.fl.Machine(host)
 		if m == nil || g.strikes[m] == nil {
 			continue
@@ -239,7 +239,7 @@
 
 // probePause is how long after one probe the next may go: soon while few
 // machines have been tried, ever more slowly once the job looks bad.
-func (g *term) probePause(t *trial) clock.Micros {
+func (g *term) probePause(t *failureHistory) clock.Micros {
 	if !t.bad {
 		return clock.Second << min(t.probes, 4)
 	}
@@ -250,7 +250,7 @@
 // has not failed on, once those before have shown what they come to or have
 // taken long to. The caller holds mu.
 func (g *term) mayTry(j *job, now clock.Micros) []int {
-	t := &j.trial
+	t := &j.failures
 	g.weigh(j, now)
 	if !t.doubtful() {
 		return j.waiting
@@ -272,7 +272,7 @@
 
 // probed notes that a probe has been sent on its way. The caller holds mu.
 func (g *term) tried(j *job, now clock.Micros) {
-	t := &j.trial
+	t := &j.failures
 	t.probes++
 	t.last = now
 	t.probeAt = now + g.probePause(t)
--- a/sizing.go
+++ b/fleetsize.go
@@ -279,7 +279,7 @@
 func (g *term) grantable() parts {
 	waiting := map[string]quota.Amount{}
 	for j := range g.queue {
-		if j.cancelled || j.trial.bad || !g.quota.Limits(j.spec.Owner).Limited() || !g.mayGrow(j) {
+		if j.cancelled || j.failures.bad || !g.quota.Limits(j.spec.Owner).Limited() || !g.mayGrow(j) {
 			continue
 		}
 		_, left := j.unfinished()
@@ -321,7 +321,7 @@
 			continue
 		}
 		s := &j.spec
-		if j.trial.bad {
+		if j.failures.bad {
 			continue // it is tried now and then, but nothing is rented for it
 		}
 		placed, left := j.unfinished()
@@ -488,7 +488,7 @@
 	for _, j := range g.jobs {
 		s := &j.spec
 		left := len(j.tasks) - j.done
-		if j.cancelled || j.calledOff || j.trial.bad || left == 0 {
+		if j.cancelled || j.calledOff || j.failures.bad || left == 0 {
 			continue
 		}
 		if j.running == 0 && !g.mayGrow(j) {
@@ -558,12 +558,12 @@
 	older := func(a, b *job) int { return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.uid, b.uid)) }
 	for j := range g.queue {
 		since := max(j.seen, g.awake)
-		if !j.trial.doubtful() { // what is tried again and again and fails gets nowhere by it
+		if !j.failures.doubtful() { // what is tried again and again and fails gets nowhere by it
 			since = max(since, j.placed)
 		} else if after < stuckAfter {
 			continue // it waits between its tries, not for room
 		}
-		if j.cancelled || j.calledOff || j.trial.bad || len(j.waiting) == 0 || now-since < after {
+		if j.cancelled || j.calledOff || j.failures.bad || len(j.waiting) == 0 || now-since < after {
 			continue
 		}
 		if !g.mayGrow(j) {
@@ -588,10 +588,10 @@
 		}
 		w.Not = map[string]bool{}
 		maps.Copy(w.Not, j.pj.Shun)
-		for name := range j.trial.faults {
+		for name := range j.failures.faults {
 			w.Not[name] = true
 		}
-		if j.trial.doubtful() && g.avoidsStruck() {
+		if j.failures.doubtful() && g.avoidsStruck() {
 			for m := range g.strikes {
 				w.Not[m.Name] = true
 			}
--- a/picture.go
+++ b/picture.go
@@ -171,9 +171,9 @@
 		}
 		tries := j.waiting
 		pj := j.pj
-		if pj.Probe = j.trial.doubtful(); pj.Probe {
+		if pj.Probe = j.failures.doubtful(); pj.Probe {
 			tries = g.mayTry(j, now)
-			pj.Probe = j.trial.doubtful()
+			pj.Probe = j.failures.doubtful()
 		}
 		most := perPass
 		if j.unhurried() {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -919,6 +919,9 @@
 // for such work of higher priority, or either would take the other's place in turn. A
 // replica makes way only for a guarantee.
 func (pl *planner) mayStop(j *Job, v *Victim, besides quota.Amount) bool {
+	if !pl.Quota.Guarantees() {
+		return !v.Replica && v.Priority < j.Priority
+	}
 	others := v.Job != nil && v.Job.Team != j.Team
 	borrowed := pl.borrowed(v, besides)
 	switch {
--- a/record.go
+++ b/record.go
@@ -19,67 +19,67 @@
 
 // write is one transaction and what it makes durable.
 type write struct {
-	txn    wire.Txn
-	size   int
-	nonce  string
-	chunks []written
-	over   []*job
-	gone   []*job
-	filed  []*filing
-	slabs  map[*slab]bool
+	txn           wire.Txn
+	size          int
+	nonce         string
+	chunks        []written
+	over          []*job
+	gone          []*job
+	moved         []*finalMove
+	sharedRecords map[*sharedRecord]bool
 }
 
 type written struct {
 	c        *chunk
 	key      string
-	j        *job  // whose tasks it holds, or
-	slab     *slab // the record that it is of
+	j        *job          // whose tasks it holds, or
+	shared   *sharedRecord // the record that it is of
 	seq      uint64
 	recorded []*fleet.Booking
 	ended    []*fleet.Booking
 	deleted  bool
 }
 
-// slab is a record that the single tasks of many jobs share.
-type slab struct {
+// sharedRecord is a record that the single tasks of many jobs share.
+type sharedRecord struct {
 	chunk
 	key  string
 	n    int    // jobs ever put into it
 	jobs []*job // those that are in it still
 }
 
-// filing is a job that is done and has yet to move to where final states are kept.
-type filing struct {
-	uid   string
-	stamp uint64
-	rec   store.OverRecord
-	slab  *slab // with a row of it, if any
+// finalMove is a job that is done and has yet to move to where final states are kept.
+type finalMove struct {
+	uid    string
+	stamp  uint64
+	rec    store.OverRecord
+	shared *sharedRecord // with a row of it, if any
 }
 
 // single tells whether a job's only task is recorded with those of other jobs.
 func (j *job) single() bool { return len(j.tasks) == 1 && !j.standing() && !j.group() }
 
-// intoSlab finds a job a record for its only task's attempts. The caller holds mu.
-func (g *term) intoSlab(j *job) {
-	if g.slab == nil || g.closed(g.slab) {
-		g.slabN++
-		g.slab = &slab{key: store.SlabKey(g.r.Stamp, g.slabN)}
-	}
-	j.slab = g.slab
-	j.slab.n++
-	j.slab.jobs = append(j.slab.jobs, j)
+// joinShared finds a job a record for its only task's attempts. The caller holds mu.
+func (g *term) joinShared(j *job) {
+	if g.shared == nil || g.closed(g.shared) {
+		g.sharedCount++
+		g.shared = &sharedRecord{key: store.SharedKey(g.r.Stamp, g.sharedCount)}
+	}
+	j.shared = g.shared
+	j.shared.n++
+	j.shared.jobs = append(j.shared.jobs, j)
 }
 
 // closed tells whether a shared record takes no more jobs: its first write is
 // conditional on each of them.
-func (g *term) closed(s *slab) bool {
-	return s != g.slab || s.n >= min(store.SlabJobs, 4*g.cfg.Facts.State.TxnOps-8)
+func (g *term) closed(s *sharedRecord) bool {
+	return s != g.shared || s.n >= min(store.SharedJobs, 4*g.cfg.Facts.State.TxnOps-8)
 }
 
-// outOfSlab takes a job of which nothing may be anywhere any more out of its
+// leaveShared takes a job of which nothing may be anywhere any more out of its
 // record, which is written again when there are changes to spare. The caller holds mu.
-func (g *term) outOfSlab(j *job) {
-	s := j.slab
+func (g *term) leaveShared(j *job) {
+	s := j.shared
 	if s == nil {
 		return
 	}
@@ -87,7 +87,7 @@
 		s.jobs = slices.Delete(s.jobs, i, i+1)
 		s.seq++
 	}
-	j.slab = nil
+	j.shared = nil
 	if s.stamp > 0 {
 		g.untidy[s] = true
 	}
@@ -134,7 +134,7 @@
 		g.dirty[uid] = true
 	}
 	g.seq++
-	w := &write{nonce: fmt.Sprintf("%d.%d", g.r.Stamp, g.seq), slabs: map[*slab]bool{}}
+	w := &write{nonce: fmt.Sprintf("%d.%d", g.r.Stamp, g.seq), sharedRecords: map[*sharedRecord]bool{}}
 	w.txn.When = []wire.When{{Path: store.KeyLead, Stamp: g.r.Stamp}}
 	spare, all := max(atLeast, g.st.Spare()), g.cfg.Facts.State.TxnOps
 	if g.careful > 0 {
@@ -167,8 +167,8 @@
 			clean = g.collectGone(w, j, most)
 		case j.done == len(j.tasks) && !j.standing():
 			g.collectOver(w, j)
-		case j.slab != nil:
-			clean = g.collectSlab(w, j.slab)
+		case j.shared != nil:
+			clean = g.collectShared(w, j.shared)
 		default:
 			before := len(w.txn.Apply)
 			for n := range j.chunks {
@@ -192,7 +192,7 @@
 		}
 	}
 	if len(w.txn.Apply) == 0 {
-		g.collectFilings(w)
+		g.collectMoves(w)
 	}
 	if len(w.txn.Apply) == 0 {
 		return nil
@@ -228,33 +228,33 @@
 	w.size += 200 + 36*len(runs)
 }
 
-// collectSlab records what has changed of the single tasks that share a record,
+// collectShared records what has changed of the single tasks that share a record,
 // once in a transaction; false when it has no room for all that this takes. Each
 // attempt that becomes durable by it is conditional on its own job, as always.
-func (g *term) collectSlab(w *write, s *slab) bool {
-	if s.seq == s.saved || w.slabs[s] {
+func (g *term) collectShared(w *write, s *sharedRecord) bool {
+	if s.seq == s.saved || w.sharedRecords[s] {
 		return true
 	}
-	wr := written{c: &s.chunk, key: s.key, slab: s, seq: s.seq, ended: s.ending}
-	rec := store.SlabRecord{Nonce: w.nonce, Rows: []store.SlabRow{}}
+	wr := written{c: &s.chunk, key: s.key, shared: s, seq: s.seq, ended: s.ending}
+	rec := store.SharedRecord{Nonce: w.nonce, Rows: []store.SharedRow{}}
 	when := []wire.When{{Path: s.key, Stamp: s.stamp}}
 	for _, j := range s.jobs {
 		pc := &j.tasks[0]
 		switch {
 		case pc.booking != nil:
-			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Attempt: pc.attempt, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
+			rec.Rows = append(rec.Rows, store.SharedRow{UID: j.uid, Attempt: pc.attempt, Host: pc.booking.Machine.Name, Session: pc.booking.Session})
 			if !pc.booking.Recorded && !j.cancelled {
 				wr.recorded = append(wr.recorded, pc.booking)
 				when = append(when, wire.When{Path: store.JobKey(j.uid), Stamp: j.stamp})
 			}
 		case pc.attempt > 0:
-			rec.Rows = append(rec.Rows, store.SlabRow{UID: j.uid, Attempt: pc.attempt})
+			rec.Rows = append(rec.Rows, store.SharedRow{UID: j.uid, Attempt: pc.attempt})
 		}
 	}
 	if len(w.txn.When)+len(when) > 4*g.cfg.Facts.State.TxnOps && len(w.txn.Apply) > 0 {
 		return false
 	}
-	w.slabs[s] = true
+	w.sharedRecords[s] = true
 	s.ending = nil
 	w.txn.When = append(w.txn.When, when...)
 	if len(rec.Rows) == 0 && g.closed(s) && s.stamp > 0 {
@@ -279,41 +279,41 @@
 	w.size += 300
 }
 
-// filingsAt is how many changes must be to spare for jobs that are done to move
-// to their final place, and manyFilings how many of them make it pressing: a new
+// finalMovesAt is how many changes must be to spare for jobs that are done to move
+// to their final place, and manyFinalMoves how many of them make it pressing: a new
 // leader reads them with the unfinished ones.
 const (
-	filingsAt   = 12
-	manyFilings = 2000
+	finalMovesAt   = 12
+	manyFinalMoves = 2000
 )
 
-// collectFilings moves jobs that are done to their final place, and writes the
+// collectMoves moves jobs that are done to their final place, and writes the
 // records again that hold rows of them, when nothing else is to be recorded.
-func (g *term) collectFilings(w *write) {
+func (g *term) collectMoves(w *write) {
 	spare := min(g.cfg.Facts.State.TxnOps, g.st.Spare())
-	if (spare < min(filingsAt, g.cfg.Facts.State.TxnOps) || g.st.Pressed()) && len(g.filings) < manyFilings {
+	if (spare < min(finalMovesAt, g.cfg.Facts.State.TxnOps) || g.st.Pressed()) && len(g.finalMoves) < manyFinalMoves {
 		return
 	}
-	for len(g.filings) > 0 && len(w.txn.Apply)+3 <= max(3, spare) && len(w.txn.When) < 3*g.cfg.Facts.State.TxnOps {
-		f := g.filings[0]
-		g.filings = g.filings[1:]
+	for len(g.finalMoves) > 0 && len(w.txn.Apply)+3 <= max(3, spare) && len(w.txn.When) < 3*g.cfg.Facts.State.TxnOps {
+		f := g.finalMoves[0]
+		g.finalMoves = g.finalMoves[1:]
 		// A row that outlived its job's record would have to be looked up by a new leader.
-		if f.slab != nil && f.slab.stamp > 0 {
-			if !g.collectSlab(w, f.slab) {
-				g.filings = append(g.filings, f)
+		if f.shared != nil && f.shared.stamp > 0 {
+			if !g.collectShared(w, f.shared) {
+				g.finalMoves = append(g.finalMoves, f)
 				break
 			}
-			delete(g.untidy, f.slab)
+			delete(g.untidy, f.shared)
 		}
 		w.txn.When = append(w.txn.When, wire.When{Path: store.JobKey(f.uid), Stamp: f.stamp})
 		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: store.JobKey(f.uid)}, wire.Apply{Set: store.OverKey(f.uid), Value: f.rec})
-		w.filed = append(w.filed, f)
+		w.moved = append(w.moved, f)
 	}
 	for s := range g.untidy {
 		if len(w.txn.Apply) >= spare {
 			break
 		}
-		if !g.collectSlab(w, s) {
+		if !g.collectShared(w, s) {
 			break
 		}
 		delete(g.untidy, s)
@@ -339,7 +339,7 @@
 		w.txn.Apply = append(w.txn.Apply, wire.Apply{Delete: key})
 		w.chunks = append(w.chunks, written{c: &j.chunks[n], key: key, j: j, deleted: true})
 	}
-	g.outOfSlab(j)
+	g.leaveShared(j)
 	if len(w.txn.Apply) == 0 || !slices.ContainsFunc(w.chunks, func(wr written) bool { return wr.j == j }) {
 		// Nothing of its own is recorded, or no longer.
 		delete(g.jobs, j.uid)
@@ -403,14 +403,14 @@
 		}
 		switch {
 		case c.seq == c.saved:
-		case wr.slab != nil:
-			g.againSlab(wr.slab)
+		case wr.shared != nil:
+			g.againShared(wr.shared)
 		default:
 			g.again(wr.j, now)
 		}
 	}
 	for _, j := range w.over {
-		g.filings = append(g.filings, &filing{uid: j.uid, stamp: epoch, rec: store.Over(&j.spec, wire.JobDone, w.nonce), slab: j.slab})
+		g.finalMoves = append(g.finalMoves, &finalMove{uid: j.uid, stamp: epoch, rec: store.Over(&j.spec, wire.JobDone, w.nonce), shared: j.shared})
 		if j.result != nil {
 			j.result.Settled = true
 		}
@@ -431,8 +431,8 @@
 	}
 }
 
-// againSlab does what again does for the jobs of a shared record. The caller holds mu.
-func (g *term) againSlab(s *slab) {
+// againShared does what again does for the jobs of a shared record. The caller holds mu.
+func (g *term) againShared(s *sharedRecord) {
 	for _, j := range s.jobs {
 		switch b := j.tasks[0].booking; {
 		case j.cancelled:
@@ -540,8 +540,8 @@
 	for _, wr := range w.chunks {
 		c := wr.c
 		c.ending = append(c.ending, wr.ended...)
-		if wr.slab != nil {
-			g.againSlab(wr.slab)
+		if wr.shared != nil {
+			g.againShared(wr.shared)
 			continue
 		}
 		g.dirty[wr.j.uid] = true
@@ -552,10 +552,10 @@
 			c.ending = nil
 		}
 	}
-	for _, f := range w.filed {
+	for _, f := range w.moved {
 		// What is not where it was has moved already, by a copy of this that came late.
 		if !slices.Contains(failed, store.JobKey(f.uid)) {
-			g.filings = append(g.filings, f)
+			g.finalMoves = append(g.finalMoves, f)
 		}
 	}
 	for _, j := range append(w.over, w.gone...) {
--- a/silent.go
+++ b/silence.go
@@ -20,31 +20,31 @@
 // machine is given up for it. The caller holds mu.
 func (g *term) few(n int) bool { return n <= max(2, g.fl.Len()/5) }
 
-// stoodStill is the gap between two looks at the clock that shows that this
+// stallAfter is the gap between two looks at the clock that shows that this
 // process has not run meanwhile.
-const stoodStill = 3 * clock.Second
+const stallAfter = 3 * clock.Second
 
-// pulseLoop watches for this process having stood still while its clocks ran on.
-func (g *term) pulseLoop(ctx context.Context) {
+// stallLoop watches for this process having stood still while its clocks ran on.
+func (g *term) stallLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		g.pulse()
+		g.checkStall()
 		g.sleep(ctx, tick)
 	}
 }
 
-// pulse notes when this process went on after standing still. Whatever seemed
+// checkStall notes when this process went on after standing still. Whatever seemed
 // silent, idle or slow to boot meanwhile was only not listened to, so that is
 // counted from then on: one that wakes must not give up all its machines.
-func (g *term) pulse() {
+func (g *term) checkStall() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ck.Now()
-	if g.pulsed > 0 && now-g.pulsed > stoodStill {
-		g.log.Info("this process stood still: silence is counted anew", "seconds", (now - g.pulsed).Seconds())
+	if g.stallCheckedAt > 0 && now-g.stallCheckedAt > stallAfter {
+		g.log.Info("this process stood still: silence is counted anew", "seconds", (now - g.stallCheckedAt).Seconds())
 		g.awake = now
 		g.stood++
 	}
-	g.pulsed = now
+	g.stallCheckedAt = now
 	g.catchUp(now)
 }
 
--- a/step.go
+++ b/step.go
@@ -131,8 +131,8 @@
 			g.paced--
 		}
 		pc.state, pc.booking = taskPlaced, b
-		if j.single() && j.slab == nil && j.chunks[0].stamp == 0 {
-			g.intoSlab(j)
+		if j.single() && j.shared == nil && j.chunks[0].stamp == 0 {
+			g.joinShared(j)
 		}
 		j.touch(l.Task.Index)
 		g.dirty[j.uid] = true
--- a/store/records.go
+++ b/store/records.go
@@ -14,14 +14,14 @@
 // read to the unfinished jobs. A job that is done is noted so in its record
 // under "j/", by one change, and moves when there are changes to spare.
 const (
-	KeyLead    = "lead"
-	KeyToken   = "warrant"
-	KeyCatalog = "catalog"
-	KeyDemand  = "demand"
-	PrefixJob  = "j/"
-	PrefixOver = "f/"
-	PrefixRuns = "p/"
-	PrefixSlab = "s/"
+	KeyLead      = "lead"
+	KeyToken     = "warrant"
+	KeyCatalog   = "catalog"
+	KeyDemand    = "demand"
+	PrefixJob    = "j/"
+	PrefixOver   = "f/"
+	PrefixRuns   = "p/"
+	PrefixShared = "s/"
 )
 
 // JobKey names the record of an unfinished job.
@@ -40,9 +40,9 @@
 	return uid, chunk, found && err == nil && chunk >= 0 && strings.HasPrefix(key, PrefixRuns)
 }
 
-// SlabKey names the n-th record of single tasks' attempts that a term made;
+// SharedKey names the n-th record of single tasks' attempts that a term made;
 // the stamp of its lead is never another term's.
-func SlabKey(term uint64, n int) string { return fmt.Sprintf("%s%d.%d", PrefixSlab, term, n) }
+func SharedKey(term uint64, n int) string { return fmt.Sprintf("%s%d.%d", PrefixShared, term, n) }
 
 // LeadRecord says who leads.
 type LeadRecord struct {
@@ -66,24 +66,24 @@
 	Over *OverRecord `msgpack:"o,omitempty"`
 }
 
-// SlabRecord holds the attempts of single tasks of many jobs, so that thousands
+// SharedRecord holds the attempts of single tasks of many jobs, so that thousands
 // of small jobs share records and changes.
-type SlabRecord struct {
-	Nonce string    `msgpack:"w"`
-	Rows  []SlabRow `msgpack:"r"`
+type SharedRecord struct {
+	Nonce string      `msgpack:"w"`
+	Rows  []SharedRow `msgpack:"r"`
 }
 
-// SlabRow is the recorded attempt of a job's only task: an empty Host means that it waits.
-type SlabRow struct {
+// SharedRow is the recorded attempt of a job's only task: an empty Host means that it waits.
+type SharedRow struct {
 	UID     string `msgpack:"u"`
 	Attempt uint64 `msgpack:"t"`
 	Host    string `msgpack:"h,omitempty"`
 	Session uint64 `msgpack:"s"`
 }
 
-// SlabJobs is how many jobs share a record of attempts: rows of at most about
+// SharedJobs is how many jobs share a record of attempts: rows of at most about
 // 100 bytes in JSON form stay under the smallest value limit.
-const SlabJobs = 60
+const SharedJobs = 60
 
 // DemandRecord is the rate of arriving work as the leader last saw it, and
 // each class's run times as a count and a sum in microseconds.
--- a/teams.go
+++ b/teams.go
@@ -224,7 +224,7 @@
 		return quota.ReasonCancelling
 	case !g.mayGrow(j):
 		return quota.ReasonLimit
-	case j.trial.doubtful():
+	case j.failures.doubtful():
 		return quota.ReasonRetry
 	case now-j.seen < newFor:
 		return quota.ReasonNew
