--- a/config/config_test.go
+++ b/config/config_test.go
@@ -152,6 +152,22 @@
 	}
 }
 
+// The settings that come with the deploy file switch the operators' address on, and no more.
+func TestDeployedSettings(t *testing.T) {
+	deployed, err := LoadOperator(filepath.Join("..", "deploy", "settings.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Metrics.Listen = "127.0.0.1:9090"
+	if *deployed != *want {
+		t.Errorf("deploy/settings.json gives %+v, want %+v", deployed, want)
+	}
+}
+
 func TestDefaultsMatchSchema(t *testing.T) {
 	if err := validate(defaultsText); err != nil {
 		t.Fatal(err)
--- a/engine.go
+++ b/engine.go
@@ -16,6 +16,7 @@
 	"cedardoor/connlimit"
 	"cedardoor/fleet"
 	"cedardoor/lead"
+	"cedardoor/metrics"
 	"cedardoor/plan"
 	"cedardoor/quota"
 	"cedardoor/store"
@@ -124,7 +125,7 @@
 	workers *agent.Client
 	cl      *cloud.Client
 	log     *slog.Logger
-	met     *Metrics
+	met     *metrics.Metrics
 	r       lead.Term
 
 	budget connlimit.Budget
--- a/metrics.go
+++ b/metrics/metrics.go
@@ -1,4 +1,5 @@
-package cedardoor
+// Package metrics collects a controller's figures and serves them as JSON.
+package metrics
 
 import (
 	"encoding/json"
@@ -22,8 +23,8 @@
 	gauges map[string]int64
 }
 
-// NewMetrics makes empty figures.
-func NewMetrics() *Metrics {
+// New makes empty figures.
+func New() *Metrics {
 	h := func() *hdr.Histogram { return hdr.New(1, int64(3600*clock.Second), 2) }
 	return &Metrics{accept: h(), start: h(), round: h(), done: h(), counts: map[string]int64{}, gauges: map[string]int64{}}
 }
--- a/service.go
+++ b/service.go
@@ -22,6 +22,7 @@
 	"cedardoor/config"
 	"cedardoor/connlimit"
 	"cedardoor/lead"
+	"cedardoor/metrics"
 	"cedardoor/peer"
 	"cedardoor/quota"
 	"cedardoor/store"
@@ -44,7 +45,7 @@
 	links   map[string]*peer.Link // for attestations, which must not wait
 	relays  map[string]*peer.Link // for users' requests and counts
 	log     *slog.Logger
-	met     *Metrics
+	met     *metrics.Metrics
 	term    atomic.Pointer[term]
 	front   *chi.Mux
 	budget  connlimit.Budget
@@ -65,7 +66,7 @@
 }
 
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
-	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: NewMetrics(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}, newLedger: quota.NewLedger}
+	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: metrics.New(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}, newLedger: quota.NewLedger}
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
