--- a/bench_test.go
+++ b/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cedardoor/connlimit"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 
 	"cedardoor/agent"
 	"cedardoor/config"
+	"cedardoor/connlimit"
 	"cedardoor/fleet"
 	"cedardoor/store"
 	"cedardoor/wire"
