--- a/plan/plan.go
+++ b/plan/plan.go
@@ -150,6 +150,8 @@
 	index *index
 	draft *quota.Draft // the ledger with the plan's steps, while one is being made
 	owed  bool         // what is being placed is within its team's guarantee
+	// binding tells whether the draft can refuse anything.
+	binding bool
 }
 
 // Placement puts a task on a machine.
@@ -205,6 +207,7 @@
 	}
 	pl := &planner{Picture: p, rules: Rules(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
 	p.draft = p.Quota.Draft()
+	p.binding = p.draft.Binding()
 	pl.out.Unplaced = map[string]int{}
 	services, others := byShape(pl.launchOwed())
 	pl.launch(services)
@@ -785,7 +788,7 @@
 
 // restore leaves the picture as it was found.
 func (pl *planner) restore() {
-	pl.draft = nil
+	pl.draft, pl.binding = nil, false
 	for i := len(pl.undo) - 1; i >= 0; i-- {
 		pl.undo[i]()
 	}
--- a/plan/rules.go
+++ b/plan/rules.go
@@ -107,7 +107,7 @@
 
 // Allows implements Rule.
 func (TeamLimit) Allows(p *Picture, j *Job, _ *Machine) bool {
-	return p.draft == nil || p.draft.Fits(j.Team, j.amount())
+	return !p.binding || p.draft.Fits(j.Team, j.amount())
 }
 
 // room is the capacity rule: what is booked on a machine fits it.
--- a/quota/draft.go
+++ b/quota/draft.go
@@ -16,6 +16,14 @@
 // Draft begins a draft. A nil ledger knows no limits and no guarantees.
 func (l *Ledger) Draft() *Draft { return &Draft{ledger: l, deltas: map[string]*delta{}} }
 
+// ignores tells whether nothing depends on what the draft does to a team's use.
+func (d *Draft) ignores(team string) bool {
+	return !d.Binding() || !d.ledger.guarantees && !d.ledger.Limits(team).Limited()
+}
+
+// Binding tells whether any team has a limit or a guarantee.
+func (d *Draft) Binding() bool { return d.ledger != nil && (d.ledger.limits || d.ledger.guarantees) }
+
 func (d *Draft) delta(team string) *delta {
 	x := d.deltas[team]
 	if x == nil {
@@ -48,12 +56,18 @@
 
 // Fits tells whether a team may use so much more.
 func (d *Draft) Fits(team string, more Amount) bool {
+	if d.ignores(team) {
+		return true
+	}
 	account, total, _ := d.use(team)
 	return account == nil || account.limits.Admit(total.Plus(more))
 }
 
 // Add takes a task that the plan starts into its team's use.
 func (d *Draft) Add(team string, amount Amount) {
+	if d.ignores(team) {
+		return
+	}
 	x := d.delta(team)
 	x.planned = x.planned.Plus(amount)
 }
@@ -61,6 +75,9 @@
 // Remove takes a task that the plan no longer starts, or looks at elsewhere, off its
 // team's use.
 func (d *Draft) Remove(team string, amount Amount) {
+	if d.ignores(team) {
+		return
+	}
 	x := d.delta(team)
 	x.planned = x.planned.Minus(amount)
 }
@@ -68,6 +85,9 @@
 // Stop notes that the plan stops a task. Its team is no longer beyond its guarantee by
 // it, though it counts for the limit until it is proved gone.
 func (d *Draft) Stop(team string, amount Amount) {
+	if d.ignores(team) {
+		return
+	}
 	x := d.delta(team)
 	x.stopping = x.stopping.Plus(amount)
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -79,6 +79,7 @@
 type Ledger struct {
 	accounts   map[string]*account
 	guarantees bool // some team has one
+	limits     bool // some team has one
 }
 
 // NewLedger makes an empty ledger of teams with the given limits.
@@ -87,6 +88,7 @@
 	for name, limits := range teams {
 		l.accounts[name] = &account{limits: limits}
 		l.guarantees = l.guarantees || limits.Guaranteed()
+		l.limits = l.limits || limits.Limited()
 	}
 	return l
 }
