--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/gob"
 	"errors"
@@ -24,22 +25,36 @@
 	// refuses it alone: answered as if it had come here.
 	Method, Path string
 	Body         []byte
-	Teams        TeamsQuestion
+	// What do teams use, for operators? TeamsAfter is the last one that is known already.
+	Teams      bool
+	TeamsAfter string
 }
 
-// TeamsQuestion asks the leader what teams use, for operators.
-type TeamsQuestion struct {
-	Asked bool
-	After string // the last team that is known already
-}
-
-// TeamsPage is the answer to a TeamsQuestion: nothing unless its sender leads.
+// TeamsPage is what a leader tells of the teams. It travels encoded by itself: each
+// connection between controllers would else carry and compile its types, though
+// operators seldom ask.
 type TeamsPage struct {
-	Leads bool
 	Teams []quota.TeamReport // by name
 	More  bool               // there are further teams
 }
 
+// Encode makes the form in which a page travels.
+func (p *TeamsPage) Encode() ([]byte, error) {
+	var out bytes.Buffer
+	if err := gob.NewEncoder(&out).Encode(p); err != nil {
+		return nil, fmt.Errorf("encode teams: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// DecodeTeamsPage reads a page as it travels.
+func DecodeTeamsPage(raw []byte) (p TeamsPage, err error) {
+	if err := gob.NewDecoder(bytes.NewReader(raw)).Decode(&p); err != nil {
+		return p, fmt.Errorf("decode teams: %w", err)
+	}
+	return p, nil
+}
+
 // Outage is a leader's question whether the state service refuses the other
 // controller too, and what it knows to be cancelled.
 type Outage struct {
@@ -62,7 +77,7 @@
 	Counts map[string][2]int
 	Status int
 	Body   []byte
-	Teams  TeamsPage
+	Teams  []byte // a TeamsPage; empty unless the sender leads
 	Epoch  uint64 // of the cancel of the job that a user's request was about, if it was cancelled
 }
 
--- a/service.go
+++ b/service.go
@@ -206,8 +206,8 @@
 			r.Counts = g.counts(a.Counts)
 		}
 	}
-	if a.Teams.Asked {
-		r.Teams = s.teamsPage(a.Teams)
+	if a.Teams {
+		r.Teams = s.teamsPage(a.TeamsAfter)
 	}
 	if a.Path != "" && !s.st.Failing() {
 		req, err := http.NewRequestWithContext(api.Relayed(ctx), a.Method, a.Path, bytes.NewReader(a.Body))
--- a/teams.go
+++ b/teams.go
@@ -101,14 +101,17 @@
 	ctx, cancel := context.WithTimeout(ctx, teamsTimeout)
 	defer cancel()
 	for after, more := "", true; more; {
-		reply, err := link.Ask(ctx, peer.Ask{Teams: peer.TeamsQuestion{Asked: true, After: after}})
+		reply, err := link.Ask(ctx, peer.Ask{Teams: true, TeamsAfter: after})
 		if err != nil {
 			return nil, err
 		}
-		page := reply.Teams
-		if !page.Leads {
+		if len(reply.Teams) == 0 {
 			return nil, errNoLeader
 		}
+		page, err := peer.DecodeTeamsPage(reply.Teams)
+		if err != nil {
+			return nil, err
+		}
 		teams = append(teams, page.Teams...)
 		if more = page.More && len(page.Teams) > 0; more {
 			after = page.Teams[len(page.Teams)-1].Team
@@ -117,19 +120,19 @@
 	return teams, nil
 }
 
-// teamsPage answers another controller that serves operators.
-func (s *Service) teamsPage(q peer.TeamsQuestion) (page peer.TeamsPage) {
+// teamsPage answers another controller that serves operators: with nothing, unless this one leads.
+func (s *Service) teamsPage(after string) []byte {
 	g := s.term.Load()
 	if g == nil {
-		return page
+		return nil
 	}
 	teams, ok := g.teamReports()
 	if !ok {
-		return page
+		return nil
 	}
-	page.Leads = true
+	var page peer.TeamsPage
 	for _, t := range teams {
-		if t.Team <= q.After {
+		if t.Team <= after {
 			continue
 		}
 		if len(page.Teams) == teamsPerPage {
@@ -138,7 +141,12 @@
 		}
 		page.Teams = append(page.Teams, t)
 	}
-	return page
+	raw, err := page.Encode()
+	if err != nil {
+		s.log.Error("teams for another controller", "error", err)
+		return nil
+	}
+	return raw
 }
 
 // refreshTeams keeps the last view recent until ctx ends.
