Groups and one-zone jobs preempt borrowed work for their team's guarantee

A job that starts only whole stopped nobody, so its team could be kept from its guarantee by work that others ran beyond theirs. Where the team is owed all of the job's tasks, room is now made for all of them at once, or nothing is stopped. Preemption moves to plan/preempt.go: choosing victims, claiming and taking back are functions of their own.

Without guarantees nothing is planned otherwise. TestWholeJobsGetTheirGuarantee and TestRoomForAWholeJobStaysClaimed pass, and fail without the call.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -553,6 +553,7 @@
 		}
 	}
 	if bestN < len(w.Indexes) && (!w.Job.Started && !w.Job.Part || bestN == 0) {
+		pl.makeRoomForAll(w, names)
 		pl.out.Unplaced[w.Job.UID] += len(w.Indexes)
 		return
 	}
@@ -598,6 +599,7 @@
 			pl.unbook(j, m)
 		}
 	}
+	pl.makeRoomForAll(w, zones)
 	pl.out.Unplaced[j.UID] += len(w.Indexes)
 }
 
@@ -841,116 +843,6 @@
 	pl.count(j, m.Zone, m.Name, 1)
 }
 
-// barelyBegun is how much progress may be lost to spare an urgent task the
-// fetch of its image.
-const barelyBegun = 6 * clock.Second
-
-// makeRoom finds a machine where stopping less important work lets one task
-// in, and claims the room. The task itself is launched when the stops are confirmed.
-//
-// With warm set, only machines that hold the image count, where no task of
-// the job is yet, and only work that has barely begun, or any for a replica.
-func (pl *planner) makeRoom(j *Job, warm bool) bool {
-	var best *Machine
-	var bestCost clock.Micros
-	var bestSet []int
-	lost := func(v *Victim) clock.Micros {
-		if v.Since == 0 {
-			return 0
-		}
-		return pl.Now - v.Since
-	}
-	for _, m := range pl.sampled(pl.index.kinds(j)) {
-		pl.out.Visits++
-		if !pl.allowed(j, m) || warm && (m.Images[j.Bundle] != ImageHeld || j.Standing && j.Machines[m.Name] > 0) {
-			continue
-		}
-		cores, accel, ram := m.Cores+m.StopCores, m.Accel+m.StopAccel, m.RAM+m.StopRAM
-		var set []int
-		var cost clock.Micros
-		var stopped map[string]quota.Amount // by team, where there are guarantees
-		for i := range m.Lower {
-			if enough(j, cores, accel, ram) {
-				break
-			}
-			v := &m.Lower[i]
-			if v.taken || warm && !j.Standing && lost(v) > barelyBegun || !pl.mayStop(j, v, stopped[v.team()]) {
-				continue
-			}
-			cores, accel, ram = cores+v.Cores, accel+v.Accel, ram+v.RAM
-			if pl.Quota.Guarantees() {
-				if stopped == nil {
-					stopped = map[string]quota.Amount{}
-				}
-				stopped[v.team()] = stopped[v.team()].Plus(v.amount())
-			}
-			cost += lost(v) + clock.Second
-			set = append(set, i)
-		}
-		if enough(j, cores, accel, ram) && (best == nil || cost < bestCost) {
-			best, bestCost, bestSet = m, cost, set
-		}
-	}
-	if best == nil {
-		return false
-	}
-	pl.save(best)
-	for _, i := range bestSet {
-		v := &best.Lower[i]
-		v.taken = true
-		best.StopCores += v.Cores
-		best.StopAccel += v.Accel
-		best.StopRAM += v.RAM
-		pl.out.Preempt = append(pl.out.Preempt, v.Task)
-		if v.Job != nil {
-			pl.draft.Stop(v.Job.Team, v.amount())
-		}
-	}
-	// The claim goes against the room on its way first, so that free room that
-	// is too small here stays usable for others.
-	claim(&best.StopCores, &best.Cores, j.Cores)
-	claim(&best.StopAccel, &best.Accel, j.Accel)
-	claim(&best.StopRAM, &best.RAM, j.RAM)
-	pl.index.put(best)
-	pl.draft.Add(j.Team, j.amount())
-	pl.count(j, best.Zone, "", 1)
-	return true
-}
-
-// mayStop tells whether a task may be stopped to make room for one of j, besides
-// others of its team that take so much. Work within its team's guarantee makes way only
-// for such work of higher priority, or either would take the other's place in turn. A
-// replica makes way only for a guarantee.
-func (pl *planner) mayStop(j *Job, v *Victim, besides quota.Amount) bool {
-	if !pl.Quota.Guarantees() {
-		return !v.Replica && v.Priority < j.Priority
-	}
-	others := v.Job != nil && v.Job.Team != j.Team
-	borrowed := pl.borrowed(v, besides)
-	switch {
-	case v.Replica:
-		return others && pl.owed && borrowed
-	case others && !pl.owed && !borrowed && pl.Quota.Limits(v.Job.Team).Guaranteed():
-		return false
-	}
-	return v.Priority < j.Priority || pl.owed && borrowed
-}
-
-// borrowed tells whether a task, with others of its team that take so much, runs
-// beyond its team's guarantee: all that a team without one runs does.
-func (pl *planner) borrowed(v *Victim, besides quota.Amount) bool {
-	if v.Borrowed || v.Job == nil {
-		return v.Borrowed
-	}
-	return pl.draft.Borrows(v.Job.Team, besides.Plus(v.amount()))
-}
-
-func claim(coming, free *float64, want float64) {
-	take := min(*coming, want)
-	*coming -= take
-	*free -= want - take
-}
-
 // repair finds targets for the candidates.
 func (pl *planner) repair() {
 	cands := append([]Candidate(nil), pl.Candidates...)
--- a/quota/draft.go
+++ b/quota/draft.go
@@ -92,6 +92,15 @@
 	x.stopping = x.stopping.Plus(amount)
 }
 
+// Resume takes a Stop back.
+func (d *Draft) Resume(team string, amount Amount) {
+	if d.ignores(team) {
+		return
+	}
+	x := d.delta(team)
+	x.stopping = x.stopping.Minus(amount)
+}
+
 // Borrows tells whether tasks of a team that take so much together are beyond its guarantee:
 // stopping them leaves it what it is guaranteed, in a resource that they take. Such
 // work may be stopped to give another team its guarantee. What is being stopped already counts no
