Move boot times, arrivals and what is held for them into package cloud; nothing else

The root package held the judgement of late machines, the rate of arriving work and the peaks of demand among the leader's state.

--- a/engine.go
+++ b/engine.go
@@ -143,7 +143,7 @@
 	shared         *sharedRecord           // takes the single tasks of the next jobs
 	sharedCount    int
 	asked          map[string]clock.Micros     // machines rented by this term and not up yet, by when they were asked for
-	boots          []boot                      // how long machines took lately
+	boots          cloud.BootTimes             // how long machines took lately
 	paced          float64                     // tasks of the lowest priority that may be started
 	pacedAt        clock.Micros                // when that was counted
 	untidy         map[*sharedRecord]bool      // hold rows of jobs that are over
@@ -177,12 +177,12 @@
 	stallCheckedAt clock.Micros // when that was last looked at
 	// repeatsAt is when repeats of direct commands were last looked for.
 	repeatsAt clock.Micros
-	arrivals  []sample // loaned work that arrived within the window
+	arrivals  cloud.Arrivals // loaned work that arrived within the window
 	rate      cloud.Load
 	rateAt    clock.Micros
 	seeded    cloud.Load // the predecessor's rate
 	classes   map[string]runStat
-	peaks     []peak
+	peaks     cloud.Peaks
 	idleFrom  clock.Micros            // since when there has been no work at all
 	gone      map[string]clock.Micros // returned: whatever still speaks of them is old
 	goneList  []string                // the same, oldest first
--- a/failures.go
+++ b/failures.go
@@ -175,11 +175,7 @@
 	t.probeAt = now + g.probePause(t)
 	g.acquit(j)
 	// Nothing is rented for tasks that fail.
-	for i := range g.arrivals {
-		if g.arrivals[i].job == j {
-			g.arrivals[i].work.Cores, g.arrivals[i].work.RAM, g.arrivals[i].work.Accel = 0, 0, 0
-		}
-	}
+	g.arrivals.Withdraw(j)
 	g.log.Info("job is bad: its tasks fail wherever they run", "job", j.uid, "machines", len(t.faults))
 }
 
--- a/fleetsize.go
+++ b/fleetsize.go
@@ -19,23 +19,6 @@
 	"cedardoor/wire"
 )
 
-// sample is the work that arrived with a job, in core-seconds and the like.
-type sample struct {
-	at   clock.Micros
-	work cloud.Load
-	old  bool // was there when the first leader began
-	job  *job
-}
-
-// peak is what was needed at one moment.
-type peak struct {
-	at       clock.Micros
-	firm     float64 // cores that only ordinary machines may hold
-	cores    float64
-	ordinary float64
-	pressing float64
-}
-
 // hire is a rental that was asked for.
 type hire struct {
 	req   wire.RentRequest
@@ -360,7 +343,7 @@
 			var l cloud.Load
 			add(&l, run*(float64(j.done)+running+waiting))
 			first := g.seeded == (cloud.Load{}) && now-g.r.Since < firstLook
-			g.arrivals = append(g.arrivals, sample{at: now, work: l, old: first, job: j})
+			g.arrivals.Add(cloud.Arrival{At: now, Work: l, Old: first, Job: j})
 		}
 		drain, patient := g.drains(j, run)
 		seconds := (waiting + running/2) * run
@@ -368,45 +351,12 @@
 		add(&pressing, min(running+waiting, seconds/patient))
 		add(&all, running+waiting)
 	}
-	window := clock.FromSeconds(f.WindowS)
-	for len(g.arrivals) > 0 && now-g.arrivals[0].at > window {
-		g.arrivals = g.arrivals[1:]
-	}
-	var rate cloud.Load
-	var square float64
-	recent := 0
-	age := (now - g.r.Since).Seconds()
-	for _, a := range g.arrivals {
-		weight := 1.0
-		if a.old {
-			// What a first leader finds says how much work there is at a time, not how
-			// much comes: it stands in for what came before, less and less.
-			weight = max(0, 1-age/window.Seconds())
-		}
-		rate.Cores += a.work.Cores * weight
-		rate.RAM += a.work.RAM * weight
-		rate.Accel += a.work.Accel * weight
-		square += a.work.Cores * a.work.Cores
-		if now-a.at <= recently {
-			recent++
-		}
-	}
-	headroom := spread(rate.Cores, square, f.Headroom)
-	fade := g.fading(recent, now, window, all.Cores == 0)
-	span := window.Seconds()
-	if g.seeded == (cloud.Load{}) {
-		span = min(span, span/2+age)
-	} else if age < span {
-		// The predecessor's rate stands for the part of the window before this term.
-		rate.Cores += g.seeded.Cores * (span - age)
-		rate.RAM += g.seeded.RAM * (span - age)
-		rate.Accel += g.seeded.Accel * (span - age)
-	}
-	rate = cloud.Load{Cores: rate.Cores * fade / span, RAM: rate.RAM * fade / span, Accel: rate.Accel * fade / span}
-	g.rate = rate
-	need.Loaned, need.Pressing = rate, pressing
-	need.Loaned.Cores *= 1 + headroom
-	need.Loaned.RAM *= 1 + headroom
+	arriving := g.arrivals.Rate(cloud.Window{Now: now, Since: g.r.Since, Span: clock.FromSeconds(f.WindowS), Seeded: g.seeded,
+		Most: f.Headroom, Done: all.Cores == 0})
+	g.rate = arriving.Load
+	need.Loaned, need.Pressing = arriving.Load, pressing
+	need.Loaned.Cores *= 1 + arriving.Headroom
+	need.Loaned.RAM *= 1 + arriving.Headroom
 	if work.Cores > need.Loaned.Cores {
 		need.Loaned = work
 	}
@@ -416,40 +366,8 @@
 	need.Pressing.Cores += lasting.Cores
 	need.Pressing.RAM += lasting.RAM
 	need.Pressing.Accel += lasting.Accel
-	// What was needed a short while ago is likely to be needed again before a new
-	// machine could be up: only what has been too much for a while is given up.
-	// Replicas arrive faster at some times than at others, and a machine takes a
-	// boot to come: what half a minute added is expected once more.
-	const look = 30 * clock.Second
-	for i := len(g.peaks) - 1; i >= 0; i-- {
-		if now-g.peaks[i].at > look || i == 0 {
-			span := max(10*clock.Second, now-g.peaks[i].at)
-			if grown := need.Ordinary.Cores - g.peaks[i].firm; grown > 0 && now-g.r.Since > 2*look {
-				need.Growth = grown * look.Seconds() / span.Seconds()
-			}
-			break
-		}
-	}
-	g.peaks = append(g.peaks, peak{now, need.Ordinary.Cores, need.Loaned.Cores, need.Ordinary.Cores*(1+need.Reserve) + need.Growth, pressing.Cores})
-	for len(g.peaks) > 0 && now-g.peaks[0].at > clock.FromSeconds(max(f.HoldS, f.HoldOrdinaryS)) {
-		g.peaks = g.peaks[1:]
-	}
-	for _, p := range g.peaks {
-		if now-p.at <= clock.FromSeconds(f.HoldS) {
-			// What is held for more work to come goes with the signs that it will.
-			need.Hold = max(need.Hold, p.cores*fade)
-			need.HoldPressing = max(need.HoldPressing, p.pressing*fade)
-		}
-		if now-p.at <= clock.FromSeconds(f.HoldOrdinaryS) {
-			need.HoldOrdinary = max(need.HoldOrdinary, p.ordinary)
-		}
-	}
-	// A machine that is emptied while replicas come on the whole is rented again
-	// soon, cold: what the last while added is expected once more.
-	if known := now - g.peaks[0].at; known >= trendFrom && need.Ordinary.Cores > g.peaks[0].firm {
-		grown := (need.Ordinary.Cores - g.peaks[0].firm) * f.HoldOrdinaryS / known.Seconds()
-		need.HoldOrdinary = max(need.HoldOrdinary, (need.Ordinary.Cores+grown)*(1+need.Reserve))
-	}
+	g.peaks.Hold(&need, pressing.Cores, cloud.Holding{Now: now, Since: g.r.Since, Loaned: clock.FromSeconds(f.HoldS),
+		Ordinary: clock.FromSeconds(f.HoldOrdinaryS), Fade: arriving.Fade})
 	// With no work at all for a while, nothing is held for what might come.
 	if need.Ordinary.Cores > 0 || all.Cores > 0 {
 		g.idleFrom = 0
@@ -616,46 +534,9 @@
 	return zone
 }
 
-// trendFrom is how much must be known of ordinary demand to tell its trend.
-const trendFrom = 60 * clock.Second
-
 // firstLook is how long after a first leader's start jobs count as found there.
 const firstLook = 6 * clock.Second
 
-// recently is the span in which a rate of arrivals that has fallen shows first.
-const recently = 30 * clock.Second
-
-// spread is the headroom that the work arriving in a window calls for, as a
-// share of it: many small jobs vary less in sum than a few large. It goes with
-// the square of the sum's standard error, since a large fleet also works off
-// what comes above the mean sooner: more machines fall free at any time.
-func spread(sum, square, most float64) float64 {
-	if sum <= 0 {
-		return most
-	}
-	return min(most, 2.5*square/(sum*sum))
-}
-
-// fading is the share of the rate seen over the window that the last short
-// while still bears out: one, unless clearly fewer jobs came in it than at that
-// rate. When work stops coming, the machines for it can go soon; and once all of
-// it is done, and none has come for several times as long as usual, at once.
-// The caller holds mu.
-func (g *term) fading(recent int, now, window clock.Micros, done bool) float64 {
-	seen := len(g.arrivals)
-	if now-g.r.Since < window || seen == 0 {
-		return 1
-	}
-	last := g.arrivals[seen-1].at
-	quiet := now - last
-	if usual := (last - g.arrivals[0].at) / clock.Micros(max(1, seen-1)); done && seen >= 5 && quiet > max(recently, 5*usual) {
-		return 0
-	}
-	n := float64(recent)
-	likely := (n + 2*math.Sqrt(n) + 2) / max(recently, quiet).Seconds()
-	return max(0.02, min(1, likely*window.Seconds()/float64(seen)))
-}
-
 // keepDemand records the rate of arriving work, so that a new leader does not
 // take its own ignorance for a lack of work and give machines up.
 func (g *term) keepDemand(ctx context.Context) {
@@ -700,7 +581,7 @@
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	quiet, known := map[string]int{}, map[string]int{}
-	late, never := g.overdue(now)
+	overdue := g.overdue(now)
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Reported && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -730,7 +611,7 @@
 		// machine takes longer to boot than a lease to run out.
 		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Reported && (m.Hushed || m.Suspect) ||
 			!m.Reported && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
-			g.unheard[m] && !m.Reported && now-g.r.Since > 2*report+2*clock.Second || late[m]
+			g.unheard[m] && !m.Reported && now-g.r.Since > 2*report+2*clock.Second || overdue.CountedOut[m.Name]
 		held = append(held, h)
 		if g.unheard[m] && !m.Reported && now-g.r.Since > 2*report || m.Reported && (m.Hushed || m.Suspect) {
 			quiet[m.Zone]++
@@ -739,7 +620,7 @@
 			known[m.Zone]++
 		}
 		dead := m.Listed == wire.HostFailed ||
-			never[m] ||
+			overdue.GivenUp[m.Name] ||
 			m.Reported && now-max(m.LastHeartbeat, g.awake) > silent ||
 			!m.Reported && m.Listed == wire.HostRunning && now-max(m.FirstSeen, g.r.Since, g.awake) > silent ||
 			(m.Banned == "sick" || m.Banned == "slow") && h.Live == 0 ||
@@ -931,3 +812,47 @@
 	g.pending[req.Hire] = h
 	g.log.Info("machines rented", "build", w.Build, "zone", w.Zone, "loaned", w.Loaned, "hosts", fmt.Sprint(hosts))
 }
+
+// cameUp notes that a machine that this term rented is up. The caller holds mu.
+func (g *term) cameUp(m *fleet.Machine, now clock.Micros) {
+	asked, rented := g.asked[m.Name]
+	if !rented {
+		return
+	}
+	delete(g.asked, m.Name)
+	g.boots.Up(now, now-asked, g.ready(m.Build))
+}
+
+// ready is how long a type takes to boot, by the catalogue.
+func (g *term) ready(build string) clock.Micros {
+	if b, ok := g.fl.Build(build); ok && b.ReadyS > 0 {
+		return clock.FromSeconds(b.ReadyS)
+	}
+	return 60 * clock.Second
+}
+
+// overdue judges the machines that should be up by now and are not. The caller holds mu.
+func (g *term) overdue(now clock.Micros) cloud.Overdue {
+	// What was rented by a predecessor, or while this process stood still, may be up
+	// and on its way here.
+	settled := now-max(g.awake, g.r.Since) > 3*clock.FromSeconds(g.cfg.Facts.Cloud.ListLagS)
+	var booting []cloud.Booting
+	g.fl.All(func(m *fleet.Machine) {
+		if m.Reported || m.Listed != wire.HostBooting || m.Returning || m.AnsweredAt > 0 {
+			return
+		}
+		from, rented := g.asked[m.Name]
+		if !rented {
+			if from = m.FirstSeen; !settled {
+				return
+			}
+		}
+		booting = append(booting, cloud.Booting{Name: m.Name, Age: now - max(from, g.awake), Ready: g.ready(m.Build)})
+	})
+	overdue := g.boots.Judge(now, booting, g.op.Fleet.BootFactor)
+	if overdue.Late > 0 {
+		g.log.Debug("machines are late", "late", overdue.Late, "longest", overdue.Longest, "general", overdue.General,
+			"counted_out", len(overdue.CountedOut), "given_up", len(overdue.GivenUp))
+	}
+	return overdue
+}
