Package recovery: what a new leader reads and decides, in one place; damaged records keep nothing up

Cause: a record that could not be decoded made a new leader fail its load for ever, so that nobody led; tasks that workers showed and the records did not name were stopped at once, healthy ones included.

Reading the records, the decision for each attempt and the progress of a takeover are package recovery; load moves from engine.go to recover.go. A damaged record is listed and logged, the rest is served. Tasks of unreadable attempts are found again on trusted machines, the others start once every machine is accounted for. A task that is not on the books is looked up under the leader's lease: stopped if its job is over or names another attempt, else left alone, its machine given nothing new, and the task started nowhere else. Machines are not replaced while fewer than half of the recorded ones had time to report.

--- a/engine.go
+++ b/engine.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"slices"
 	"sort"
-	"strings"
 	"sync"
 
 	"cedardoor/agent"
@@ -19,6 +18,7 @@
 	"cedardoor/metrics"
 	"cedardoor/plan"
 	"cedardoor/quota"
+	"cedardoor/recovery"
 	"cedardoor/store"
 	"cedardoor/wire"
 )
@@ -29,6 +29,8 @@
 	taskWaiting taskState = iota
 	taskPlaced
 	taskDone
+	// taskUnreadable: the record of its attempts can't be decoded, so it may run somewhere.
+	taskUnreadable
 )
 
 // task is one task as the leader sees it.
@@ -41,6 +43,8 @@
 	fails     int
 	ran       bool
 	listed    bool // among its job's waiting tasks
+	// reservation counts for an unreadable task as long as it may run somewhere.
+	reservation *quota.Reservation
 }
 
 // chunk is the durable record of some of a job's tasks.
@@ -49,6 +53,9 @@
 	seq    uint64 // raised by every change
 	saved  uint64 // seq of what is durable
 	ending []*fleet.Booking
+	// unreadable is how many of its tasks may run somewhere by a record that can't be
+	// decoded: it is not written over before all of them are known.
+	unreadable int
 }
 
 // job is an unfinished job, or one whose tasks are still being stopped.
@@ -197,9 +204,10 @@
 	readAt    clock.Micros          // when the last read of changes that was answered began
 	heldFrom  clock.Micros          // since when the lease has stood
 	calledOff map[*job]clock.Micros // said to be cancelled, and when that was heard
-	unwatch   context.CancelFunc    // ends the watch that waits, nil when none does
-	blocked   clock.Micros          // when a lack of room was last logged
-	capped    clock.Micros          // when the limit of machines was last logged
+	recovering
+	unwatch context.CancelFunc // ends the watch that waits, nil when none does
+	blocked clock.Micros       // when a lack of room was last logged
+	capped  clock.Micros       // when the limit of machines was last logged
 }
 
 func newTerm(s *Service, r lead.Term) *term {
@@ -215,12 +223,14 @@
 		classes: map[string]runStat{}, gone: map[string]clock.Micros{},
 		lazy: map[string]clock.Micros{}, queue: map[*job]bool{}, touched: map[*fleet.Machine]bool{}, toTell: map[*fleet.Machine]bool{},
 		strikes: map[*fleet.Machine]*strikes{}, untidy: map[*sharedRecord]bool{}, asked: map[string]clock.Micros{},
-		calledOff: map[*job]clock.Micros{},
-		unheard:   map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
+		calledOff: map[*job]clock.Micros{}, recovering: newRecovering(r.Since),
+		unheard: map[*fleet.Machine]bool{}, holds: map[string]string{}, mute: map[*fleet.Machine]bool{}, probed: map[string]clock.Micros{},
 	}
 	g.pic = &plan.Picture{Quota: ledger, MoveCap: s.op.Repair.Restarts, Sample: s.op.Plan.Sample, Preempt: true, Turns: plan.MostTurns}
 	g.fl.Touched = func(m *fleet.Machine) { g.touched[m] = true }
 	g.fl.Room = g.room
+	g.fl.Decide = g.decideUnbooked
+	g.readRecords = s.readRecords
 	return g
 }
 
@@ -281,224 +291,12 @@
 	wg.Go(func() { g.watchJobs(ctx, epoch) })
 	wg.Go(func() { g.sizeLoop(ctx) })
 	wg.Go(func() { g.stallLoop(ctx) })
+	wg.Go(func() { g.lookUpLoop(ctx) })
 	g.loop(ctx)
 	wg.Wait()
 	return nil
 }
 
-// load reads every unfinished job and every recorded attempt. The machines of
-// those may go on under the predecessor's last answers, so each keeps its
-// bookings until it reports or its lease must have run out.
-func (g *term) load(ctx context.Context) (epoch uint64, err error) {
-	began, spell := g.ck.Now(), g.spell()
-	_, held := g.el.MayOrder()
-	jobs, epoch, err := g.st.List(ctx, store.Urgent, store.PrefixJob)
-	if err != nil {
-		return 0, err
-	}
-	chunks, _, err := g.st.List(ctx, store.Urgent, store.PrefixRuns)
-	if err != nil {
-		return 0, err
-	}
-	sharedRecords, _, err := g.st.List(ctx, store.Urgent, store.PrefixShared)
-	if err != nil {
-		return 0, err
-	}
-	catRow, catFound, err := g.st.Get(ctx, store.Urgent, store.KeyCatalog)
-	if err != nil {
-		return 0, err
-	}
-	demRow, demFound, err := g.st.Get(ctx, store.Urgent, store.KeyDemand)
-	if err != nil {
-		return 0, err
-	}
-	// Jobs that are over while some of their tasks may still be on machines.
-	left := map[string]wire.Spec{}
-	there, done := map[string]bool{}, map[string]bool{}
-	for _, row := range jobs {
-		uid := strings.TrimPrefix(row.Path, store.PrefixJob)
-		there[uid] = true
-		if over := store.OverIn(row.Value); over != nil {
-			left[uid], done[uid] = leftOf(uid, over), true
-			g.finalMoves = append(g.finalMoves, &finalMove{uid: uid, stamp: row.Stamp, rec: *over})
-		}
-	}
-	var names []string
-	for _, row := range chunks {
-		if uid, _, ok := store.ParseChunkKey(row.Path); ok {
-			names = append(names, uid)
-		}
-	}
-	shared := make([]store.SharedRecord, len(sharedRecords))
-	for i, row := range sharedRecords {
-		if err := wire.Unmarshal(row.Value, &shared[i]); err != nil {
-			return 0, fmt.Errorf("record %s: %w", row.Path, err)
-		}
-		for _, r := range shared[i].Rows {
-			names = append(names, r.UID)
-		}
-	}
-	for _, uid := range names {
-		if _, known := left[uid]; known || there[uid] {
-			continue
-		}
-		over, found, err := g.st.Get(ctx, store.Urgent, store.OverKey(uid))
-		if err != nil {
-			return 0, err
-		}
-		var rec store.OverRecord
-		if found && wire.Unmarshal(over.Value, &rec) == nil {
-			left[uid], done[uid] = leftOf(uid, &rec), rec.Status == wire.JobDone
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var dem store.DemandRecord
-	if demFound && wire.Unmarshal(demRow.Value, &dem) == nil {
-		g.seeded = cloud.Load{Cores: dem.Cores, RAM: dem.RAM, Accel: dem.Accel}
-		for class, v := range dem.Classes {
-			if v[0] > 0 && v[1] > 0 {
-				g.classes[class] = runStat{n: int(v[0]), sum: clock.Micros(v[1])}
-			}
-		}
-	}
-	if catFound {
-		if err := wire.Unmarshal(catRow.Value, &g.catalog); err != nil {
-			return 0, fmt.Errorf("catalogue record: %w", err)
-		}
-		g.catStamp = catRow.Stamp
-		g.fl.SetCatalog(g.catalog)
-	}
-	now := g.ck.Now()
-	for _, row := range jobs {
-		if err := g.addJob(row.Path, row.Value, row.Stamp, now); err != nil {
-			return 0, err
-		}
-	}
-	for _, row := range chunks {
-		uid, n, ok := store.ParseChunkKey(row.Path)
-		if !ok {
-			g.log.Error("record with a strange name", "key", row.Path)
-			continue
-		}
-		var rec store.ChunkRecord
-		if err := wire.Unmarshal(row.Value, &rec); err != nil {
-			return 0, fmt.Errorf("record %s: %w", row.Path, err)
-		}
-		j := g.jobs[uid]
-		if j == nil {
-			// Over, but its tasks were not all known to be gone.
-			j = &job{uid: uid, spec: left[uid], cancelled: true}
-			j.pj = g.planJob(j)
-			g.jobs[uid] = j
-		}
-		for len(j.chunks) <= n {
-			j.chunks = append(j.chunks, chunk{})
-		}
-		j.chunks[n].stamp = row.Stamp
-		if j.cancelled {
-			for len(j.tasks) < (n+1)*store.ChunkTasks {
-				j.tasks = append(j.tasks, task{})
-			}
-			g.dirty[uid] = true
-		}
-		base := n * store.ChunkTasks
-		ended, runs, err := rec.Unpack(min(store.ChunkTasks, len(j.tasks)-base))
-		if err != nil {
-			return 0, fmt.Errorf("record %s: %w", row.Path, err)
-		}
-		for i, d := range ended {
-			if d {
-				j.tasks[base+i].state = taskDone
-				j.done++
-			}
-		}
-		for _, p := range runs {
-			if done[uid] {
-				break // a job that is done has ended wherever it was
-			}
-			g.adopt(j, base+p.Index, p, now)
-		}
-	}
-	for i, row := range sharedRecords {
-		s := &sharedRecord{key: row.Path, n: store.SharedJobs}
-		s.stamp = row.Stamp
-		for _, r := range shared[i].Rows {
-			j := g.jobs[r.UID]
-			// A job that is done has ended wherever it was.
-			if spec, over := left[r.UID]; j == nil && over && r.Host != "" && !done[r.UID] {
-				j = &job{uid: r.UID, spec: spec, cancelled: true, tasks: make([]task, 1)}
-				j.pj = g.planJob(j)
-				g.jobs[r.UID] = j
-				g.dirty[r.UID] = true
-			}
-			if j == nil || len(j.tasks) != 1 {
-				s.seq++ // nothing of it can be anywhere: its row goes
-				continue
-			}
-			j.shared = s
-			s.jobs = append(s.jobs, j)
-			g.adopt(j, 0, store.Placed{Attempt: r.Attempt, Host: r.Host, Session: r.Session}, now)
-		}
-		if s.seq > 0 || len(s.jobs) == 0 {
-			s.seq++
-			g.untidy[s] = true
-		}
-	}
-	for _, j := range g.jobs {
-		// The predecessor's rate holds the work of the jobs found here.
-		j.counted = demFound
-		if j.cancelled {
-			continue
-		}
-		j.waiting = j.waiting[:0]
-		delete(g.queue, j)
-		for i := range j.tasks {
-			j.tasks[i].listed = false
-			if j.tasks[i].state == taskWaiting {
-				g.wait(j, i)
-			}
-		}
-		if j.done == len(j.tasks) {
-			g.dirty[j.uid] = true
-		}
-		// What a predecessor knew of a job that fails everywhere went with it: one all
-		// of whose attempts are over without any result is tried with one task first.
-		j.failures.good = j.done > 0
-		j.failures.wary = j.started && j.done == 0 && len(j.waiting) == len(j.tasks)
-	}
-	g.loaded = true
-	g.read(epoch, began, spell, held)
-	g.log.Info("records loaded", "jobs", len(jobs), "chunks", len(chunks), "epoch", epoch, "took_s", (g.ck.Now() - began).Seconds())
-	return epoch, nil
-}
-
-// adopt takes in an attempt that a predecessor recorded. The caller holds mu.
-func (g *term) adopt(j *job, index int, p store.Placed, now clock.Micros) {
-	pc := &j.tasks[index]
-	pc.attempt, pc.ran = p.Attempt, true
-	j.started = true
-	if p.Host == "" {
-		return
-	}
-	lease := clock.FromSeconds(g.cfg.Facts.Workers.LeaseS)
-	m := g.fl.Ensure(p.Host, now)
-	g.unheard[m] = true
-	m.LeaseEnd = max(m.LeaseEnd, now+(lease+lead.AttestSpan).Stretch(clock.Drift)+clock.Second)
-	b := g.booking(j, index, p.Attempt)
-	b.Session = p.Session
-	g.fl.Adopt(m, b, now)
-	if j.cancelled {
-		g.fl.Stop(b, 0, now)
-	}
-	pc.state, pc.booking = taskPlaced, b
-}
-
-// leftOf is what the tasks of a job that is over take, where some are left.
-func leftOf(uid string, rec *store.OverRecord) wire.Spec {
-	return wire.Spec{UID: uid, Owner: rec.Owner, Cores: rec.Cores, Accel: rec.Accel, RAM: rec.RAM, Pieces: rec.Tasks}
-}
-
 func (g *term) booking(j *job, index int, attempt uint64) *fleet.Booking {
 	s := &j.spec
 	return &fleet.Booking{Tag: j, Task: fleet.TaskID{Job: j.uid, Index: index}, Attempt: attempt, Team: s.Owner, Cores: s.Cores, Accel: s.Accel, RAM: s.RAM,
@@ -507,23 +305,26 @@
 
 // addJob takes an accepted job in. The caller holds mu.
 func (g *term) addJob(key string, value []byte, stamp uint64, now clock.Micros) error {
-	var rec store.JobRecord
-	if err := wire.Unmarshal(value, &rec); err != nil {
-		return fmt.Errorf("record %s: %w", key, err)
-	}
-	if rec.Over != nil {
-		return nil
+	record, err := recovery.DecodeJob(wire.Row{Path: key, Value: value, Stamp: stamp})
+	if err != nil {
+		return err
 	}
-	s := rec.Spec
-	if store.JobKey(s.UID) != key || s.Pieces < 1 || s.Pieces > wire.MaxPieces {
-		return fmt.Errorf("record %s: not this job's", key)
+	if record.Over == nil {
+		g.addRecord(record, stamp, now)
 	}
+	return nil
+}
+
+// addRecord takes an accepted job's record in. The caller holds mu.
+func (g *term) addRecord(record store.JobRecord, stamp uint64, now clock.Micros) {
+	s := record.Spec
 	if j := g.jobs[s.UID]; j != nil {
 		j.stamp = max(j.stamp, stamp)
-		return nil
+		return
 	}
+	delete(g.lookups, s.UID)
 	priority, _ := wire.RankOf(s.Rank)
-	j := &job{uid: s.UID, spec: s, priority: priority, stamp: stamp, at: rec.AtUS, seen: now, order: rec.AtUS,
+	j := &job{uid: s.UID, spec: s, priority: priority, stamp: stamp, at: record.AtUS, seen: now, order: record.AtUS,
 		tasks: make([]task, s.Pieces), waiting: make([]int, s.Pieces),
 		chunks: make([]chunk, (s.Pieces+store.ChunkTasks-1)/store.ChunkTasks)}
 	for i := range j.waiting {
@@ -534,7 +335,6 @@
 	g.jobs[s.UID] = j
 	g.queue[j] = true
 	g.fresh = true
-	return nil
 }
 
 // planJob is the job as the planner sees it; its counts follow the bookings.
@@ -620,6 +420,9 @@
 func (g *term) news(list []fleet.News, now clock.Micros) {
 	for _, n := range list {
 		b := n.Booking
+		if n.Gone && b.Adopted {
+			g.progress.Settle(b.Machine.Name, recovery.MachineGone, now)
+		}
 		j := g.jobs[b.Task.Job]
 		if j == nil || b.Task.Index >= len(j.tasks) {
 			b.Settled = true
@@ -794,9 +597,11 @@
 	}
 	if m.Reported {
 		delete(g.unheard, m)
+		g.progress.Settle(m.Name, recovery.MachineReconciled, now)
 		g.cameUp(m, now)
 	}
 	g.news(news, now)
+	g.adoptShown(m, now)
 	g.fl.Answered(m, now, token)
 	if len(news) > 0 {
 		g.wake()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"cedardoor/clock"
 	"cedardoor/quota"
+	"cedardoor/recovery"
 	"cedardoor/wire"
 )
 
@@ -142,20 +143,21 @@
 
 	Images map[string]bool // bundles seen here; true once one was fetched whole
 
-	list      []*Booking // in the order of their reservation
-	byKey     map[key]*Booking
-	live      int // bookings that may be on it
-	strays    map[key]stray
-	past      wire.Mark // as far as copies of an earlier process's reports may go, where the worker began to count anew
-	mixed     bool      // it adopted bookings of several sessions: those before the one that reports are over
-	missed    bool      // a direct command did not get through since the last heartbeat
-	told      uint64    // the token in the last answer
-	seen      []byte    // the task list of the last report, as it came
-	shown     uint64    // the token that it came with
-	steady    bool      // that list holds no news and asks for no orders
-	dueAt     clock.Micros
-	due       int // its index in the fleet's order of lease ends, plus one
-	heartbeat *list.Element
+	list         []*Booking // in the order of their reservation
+	byKey        map[key]*Booking
+	live         int              // bookings that may be on it
+	unbooked     map[key]unbooked // tasks that the last report shows and that are not on the books
+	unbookedLive int              // of those, tasks that have not ended
+	past         wire.Mark        // as far as copies of an earlier process's reports may go, where the worker began to count anew
+	mixed        bool             // it adopted bookings of several sessions: those before the one that reports are over
+	missed       bool             // a direct command did not get through since the last heartbeat
+	told         uint64           // the token in the last answer
+	seen         []byte           // the task list of the last report, as it came
+	shown        uint64           // the token that it came with
+	steady       bool             // that list holds no news and asks for no orders
+	dueAt        clock.Micros
+	due          int // its index in the fleet's order of lease ends, plus one
+	heartbeat    *list.Element
 }
 
 // key names an attempt on a machine.
@@ -164,7 +166,10 @@
 	attempt uint64
 }
 
-type stray struct{ ended bool }
+// unbooked is what a report shows of a task that is not on the books.
+type unbooked struct{ status string }
+
+func (u unbooked) ended() bool { return u.status == wire.PieceEnded }
 
 // Free is the room that nothing is booked on.
 func (m *Machine) Free() (cores, accel, ram float64) {
@@ -209,6 +214,11 @@
 	// Touched, if set, is told of a machine of which something changed that
 	// matters for placing.
 	Touched func(m *Machine)
+	// Decide, if set, tells what follows for a task that a worker shows and that is not on
+	// the books. Where it is not set, such a task is stopped.
+	Decide func(task TaskID, attempt uint64) recovery.Decision
+	// unbooked is where tasks are that are shown and not on the books.
+	unbooked map[TaskID]map[*Machine]bool
 	// Visits counts machines and bookings looked at, so that tests can bound the work.
 	Visits int
 }
@@ -235,7 +245,8 @@
 // their room from the ledger.
 func New(lease, report clock.Micros, first uint64, ledger *quota.Ledger) *Fleet {
 	return &Fleet{quota: ledger, first: first, lease: lease.Stretch(clock.Drift) + leaseMargin, report: report, machines: map[string]*Machine{},
-		builds: map[string]wire.Build{}, heartbeats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{}}
+		builds: map[string]wire.Build{}, heartbeats: list.New(), doubts: map[*Booking]bool{}, repeats: map[*Booking]bool{},
+		unbooked: map[TaskID]map[*Machine]bool{}}
 }
 
 func (f *Fleet) touch(m *Machine) {
@@ -323,7 +334,7 @@
 	m := f.machines[name]
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: now, IdleFrom: now, Slow: 1, LeaseEnd: now + f.lease,
-			byKey: map[key]*Booking{}, Images: map[string]bool{}, strays: map[key]stray{}}
+			byKey: map[key]*Booking{}, Images: map[string]bool{}, unbooked: map[key]unbooked{}}
 		f.machines[name] = m
 	}
 	return m
@@ -336,6 +347,7 @@
 		return
 	}
 	delete(f.machines, name)
+	f.clearUnbooked(m)
 	if m.heartbeat != nil {
 		f.heartbeats.Remove(m.heartbeat)
 		m.heartbeat = nil
@@ -552,7 +564,8 @@
 		return news, true // its task list is not readable: it proves nothing
 	}
 	shown := make(map[*Booking]bool, len(rep.Pieces))
-	clear(m.strays)
+	before := m.unbookedLive
+	f.clearUnbooked(m)
 	held := len(m.Images)
 	for i := range rep.Pieces {
 		f.Visits++
@@ -565,7 +578,7 @@
 		}
 		if b == nil || b.Session != rep.Tenure {
 			if ok {
-				m.strays[k] = stray{ended: p.Status == wire.PieceEnded}
+				f.addUnbooked(m, k, p.Status)
 			}
 			continue
 		}
@@ -594,10 +607,10 @@
 			news = append(news, News{Booking: b})
 		}
 	}
-	if len(m.Images) != held {
+	if len(m.Images) != held || m.unbookedLive != before {
 		f.touch(m)
 	}
-	steady := len(m.strays) == 0
+	steady := len(m.unbooked) == 0
 	m.Each(func(b *Booking) {
 		f.Visits++
 		// A higher token voids the copies of a /do that are on their way, of
@@ -880,16 +893,19 @@
 		return f.halts(m, now)
 	}
 	var runs []wire.Order
-	for _, s := range sorted(m.strays) {
+	for _, k := range sorted(m.unbooked) {
 		if len(orders) >= maxOrders {
 			break
 		}
-		// Not on the books here: it is stopped, then forgotten.
-		if !m.strays[s].ended {
+		switch {
+		case m.unbooked[k].ended():
+			if viaHeartbeat && m.Token >= f.first {
+				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: k.task.String(), Try: k.attempt})
+			}
+		case f.decide(k) == recovery.Stop:
+			// It is stopped, then forgotten.
 			zero := 0.0
-			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: s.task.String(), Try: s.attempt, LeewayS: &zero})
-		} else if viaHeartbeat && m.Token >= f.first {
-			orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: s.task.String(), Try: s.attempt})
+			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: k.task.String(), Try: k.attempt, LeewayS: &zero})
 		}
 	}
 	for _, b := range m.list {
@@ -945,7 +961,7 @@
 	return wire.Order{Verb: wire.VerbHalt, Piece: b.Task.String(), Try: b.Attempt, LeewayS: &left}
 }
 
-func sorted(in map[key]stray) []key {
+func sorted(in map[key]unbooked) []key {
 	keys := make([]key, 0, len(in))
 	for k := range in {
 		keys = append(keys, k)
--- a/fleetsize.go
+++ b/fleetsize.go
@@ -246,7 +246,7 @@
 // unfinished counts a job's tasks that have a machine and those that have none.
 func (j *job) unfinished() (placed, left int) {
 	for i := range j.tasks {
-		if j.tasks[i].state == taskPlaced {
+		if s := j.tasks[i].state; s == taskPlaced || s == taskUnreadable {
 			placed++
 		}
 	}
@@ -581,7 +581,7 @@
 	silent := clock.FromSeconds(g.op.Fleet.SilentS)
 	report := clock.FromSeconds(g.cfg.Facts.Workers.ReportS)
 	quiet, known := map[string]int{}, map[string]int{}
-	overdue := g.overdue(now)
+	overdue, reconnecting := g.overdue(now), g.reconnecting(now)
 	for _, m := range g.fl.Machines() {
 		if m.Build == "" || !m.Reported && m.ListedAt == 0 && m.Bookings() == 0 {
 			continue // nothing but an old report may speak of it
@@ -604,14 +604,15 @@
 		} else if b, known := g.fl.Build(m.Build); known && !h.Up {
 			h.Free = cloud.Load{Cores: b.Cores, RAM: b.RAM, Accel: b.Accel}
 		}
-		if m.IdleFrom > 0 {
+		h.Live += m.Unbooked()
+		if m.IdleFrom > 0 && m.Unbooked() == 0 {
 			h.Idle = now - m.IdleFrom
 		}
 		// What was up and has been silent for two reports is replaced at once: a
 		// machine takes longer to boot than a lease to run out.
 		h.Lost = m.Banned != "" || m.Returning || m.Listed == wire.HostFailed || m.Reported && (m.Hushed || m.Suspect) ||
 			!m.Reported && m.ListedAt > 0 && m.Listed != wire.HostBooting && now-m.FirstSeen > silent ||
-			g.unheard[m] && !m.Reported && now-g.r.Since > 2*report+2*clock.Second || overdue.CountedOut[m.Name]
+			g.unheard[m] && !m.Reported && now-g.r.Since > 2*report+2*clock.Second && !reconnecting || overdue.CountedOut[m.Name]
 		held = append(held, h)
 		if g.unheard[m] && !m.Reported && now-g.r.Since > 2*report || m.Reported && (m.Hushed || m.Suspect) {
 			quiet[m.Zone]++
@@ -683,7 +684,7 @@
 	}
 	for _, name := range v.Return {
 		m := g.fl.Machine(name)
-		if m.LiveCount() == 0 && m.Cordoned {
+		if m.LiveCount() == 0 && m.Unbooked() == 0 && m.Cordoned {
 			m.Returning = true
 			g.touched[m] = true
 			giveUp = append(giveUp, name)
--- a/picture.go
+++ b/picture.go
@@ -13,7 +13,7 @@
 
 // usable tells whether a machine may be given tasks.
 func (g *term) usable(m *fleet.Machine, now clock.Micros) bool {
-	return m.Reported && !m.Suspect && !m.Hushed && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && m.FailingUntil <= now
+	return m.Reported && !m.Suspect && !m.Hushed && m.Unbooked() == 0 && m.Cores > 0 && !m.Lapsed(now) && !m.Returning && m.WarnUntil == 0 && m.FailingUntil <= now
 }
 
 // judge bans a machine that has a notice, is slow or does not hear, and lifts
@@ -160,6 +160,7 @@
 	wall := g.ck.Wall()
 	const perPass = 400 // tasks of one job offered to one pass
 	low := g.allowance(now)
+	unbooked := g.fl.HasUnbooked()
 	for j := range g.queue {
 		j.prune()
 		if j.cancelled || len(j.waiting) == 0 {
@@ -184,7 +185,7 @@
 		idx := make([]int, 0, min(len(tries), most))
 		lost := false
 		for _, i := range tries {
-			if j.tasks[i].notBefore > now {
+			if j.tasks[i].notBefore > now || unbooked && g.fl.MayRunUnbooked(fleet.TaskID{Job: j.uid, Index: i}, now) {
 				continue
 			}
 			idx = append(idx, i)
--- a/record.go
+++ b/record.go
@@ -173,7 +173,7 @@
 			before := len(w.txn.Apply)
 			for n := range j.chunks {
 				c := &j.chunks[n]
-				if c.seq == c.saved {
+				if c.seq == c.saved || c.unreadable > 0 {
 					continue
 				}
 				if len(w.txn.Apply) >= most || w.size > maxTxn || len(w.txn.When)+2 > 4*g.cfg.Facts.State.TxnOps {
@@ -328,6 +328,9 @@
 			return true // its end will mark the job again
 		}
 	}
+	if g.unreadable[j] {
+		return true // so will the end of the doubt about its tasks
+	}
 	for n := range j.chunks {
 		if j.chunks[n].stamp == 0 {
 			continue
@@ -342,7 +345,7 @@
 	g.leaveShared(j)
 	if len(w.txn.Apply) == 0 || !slices.ContainsFunc(w.chunks, func(wr written) bool { return wr.j == j }) {
 		// Nothing of its own is recorded, or no longer.
-		delete(g.jobs, j.uid)
+		g.forgetJob(j)
 		return true
 	}
 	w.gone = append(w.gone, j)
@@ -427,7 +430,7 @@
 		g.dirty[j.uid] = true
 	}
 	for _, j := range w.gone {
-		delete(g.jobs, j.uid)
+		g.forgetJob(j)
 	}
 }
 
@@ -454,7 +457,7 @@
 	}
 	for n := range j.chunks {
 		c := &j.chunks[n]
-		if c.seq == c.saved {
+		if c.seq == c.saved || c.unreadable > 0 {
 			continue
 		}
 		base := n * store.ChunkTasks
--- a/service.go
+++ b/service.go
@@ -25,6 +25,7 @@
 	"cedardoor/metrics"
 	"cedardoor/peer"
 	"cedardoor/quota"
+	"cedardoor/recovery"
 	"cedardoor/store"
 	"cedardoor/wire"
 
@@ -52,6 +53,8 @@
 	teams   teamsView
 	// newLedger makes the ledger of a term; tests put a broken one in its place.
 	newLedger func(teams map[string]quota.Limits) *quota.Ledger
+	// readRecords reads what predecessors left; tests put other records in their place.
+	readRecords func(ctx context.Context, source recovery.Source) (*recovery.Records, error)
 	// relayAfter is when relaying is worth trying again, on the steady clock.
 	relayAfter atomic.Int64
 
@@ -66,7 +69,7 @@
 }
 
 func newService(cfg *config.Platform, op *config.Operator, log *slog.Logger, ck *clock.Clock) *Service {
-	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: metrics.New(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}, newLedger: quota.NewLedger}
+	s := &Service{cfg: cfg, op: op, log: log, ck: ck, met: metrics.New(), links: map[string]*peer.Link{}, relays: map[string]*peer.Link{}, newLedger: quota.NewLedger, readRecords: recovery.Read}
 	f := cfg.Facts
 	s.st = store.New(cfg.Outside.State, f.State, 1+len(cfg.Others))
 	s.cl = cloud.New(cfg.Outside.Cloud, f.Cloud.RPS)
--- a/step.go
+++ b/step.go
@@ -43,6 +43,8 @@
 	g.news(g.fl.Expire(now), now)
 	g.hush(now)
 	g.prove(now)
+	g.settleUnreadable(now)
+	g.tellProgress()
 	if _, may := g.el.MayOrder(); may {
 		g.plan(now)
 	}
@@ -250,7 +252,7 @@
 
 // urgent tells whether a machine has commands that should not wait for its next heartbeat.
 func (g *term) urgent(m *fleet.Machine, scope fleet.Scope) bool {
-	urgent := m.CountsAnew()
+	urgent := m.CountsAnew() || scope > fleet.OnlyHalts && g.stopsUnbooked(m)
 	m.Each(func(b *fleet.Booking) {
 		if !b.Live() || b.Session != m.Session {
 			return
