cedardoor recovery: how far the leader has taken over, from any controller

Operators could not see what a new leader waits for. 'cedardoor recovery' prints its stage, recorded machines and attempts by state, the latest end, tasks that are not on the books and damaged records, as a table or JSON, with the conventions of 'cedardoor teams'; both commands and both views are one code now.

Results that workers hold of tasks whose record is unreadable are taken, no longer forgotten; what an answer to a question shows is adopted as well. Polls of a job whose record can't be decoded get 503, no longer 'queued', which could contradict an earlier 'done'. The poll test's records name their job now, as every record does.

--- a/api/api.go
+++ b/api/api.go
@@ -228,7 +228,7 @@
 	u.mu.Lock()
 	rec, cached := u.over[uid]
 	if u.jobs == nil {
-		u.jobs = &view{st: u.Store, ck: u.Clock, count: u.Counts, over: u.remember, pause: max(u.Store.Pause(), u.Pause), live: map[string]bool{}}
+		u.jobs = &view{st: u.Store, ck: u.Clock, count: u.Counts, over: u.remember, pause: max(u.Store.Pause(), u.Pause), live: map[string]standing{}}
 	}
 	jobs := u.jobs
 	u.mu.Unlock()
@@ -246,6 +246,9 @@
 		}
 		return v, nil
 	}
+	if at == unreadable {
+		return wire.View{}, fmt.Errorf("record of %s: %w", uid, store.ErrBadAnswer)
+	}
 	u.mu.Lock()
 	rec, cached = u.over[uid]
 	u.mu.Unlock()
--- a/api/view.go
+++ b/api/view.go
@@ -21,8 +21,8 @@
 	over  func(uid string, rec store.OverRecord, epoch uint64) // told of final states that changes bring, if set
 	pause clock.Micros                                         // least time between reads
 
-	mu     sync.Mutex      // guards all below
-	live   map[string]bool // the jobs that have a record among the unfinished: true, or false if it says that they are over
+	mu     sync.Mutex          // guards all below
+	live   map[string]standing // the jobs that have a record among the unfinished
 	loaded bool
 	epoch  uint64
 	next   *round // gathers the questions for the next read
@@ -46,8 +46,21 @@
 	elsewhere  standing = iota // among the final states, or nowhere
 	unfinished                 // among the unfinished jobs
 	settled                    // still among them, but it says that the job is over
+	unreadable                 // among them, and can't be decoded: nobody knows the job's state
 )
 
+// standingOf tells what the record of an unfinished job says, with the final state if it
+// holds one.
+func standingOf(value []byte) (standing, *store.OverRecord) {
+	switch over, err := store.OverIn(value); {
+	case err != nil:
+		return unreadable, nil
+	case over != nil:
+		return settled, over
+	}
+	return unfinished, nil
+}
+
 // readLimit bounds one read: users wait two seconds for an answer.
 const readLimit = 1200 * clock.Millisecond
 
@@ -105,11 +118,7 @@
 	r.state = make(map[string]standing, len(r.uids))
 	v.mu.Lock()
 	for _, uid := range r.uids {
-		if live, here := v.live[uid]; live {
-			r.state[uid] = unfinished
-		} else if here {
-			r.state[uid] = settled
-		}
+		r.state[uid] = v.live[uid] // elsewhere, if it is not there
 	}
 	v.mu.Unlock()
 	if err == nil {
@@ -130,8 +139,8 @@
 			for _, ev := range ch.Events {
 				if ev.Set != "" {
 					uid := ev.Set[min(len(store.PrefixJob), len(ev.Set)):]
-					over := store.OverIn(ev.Value)
-					v.live[uid] = over == nil
+					at, over := standingOf(ev.Value)
+					v.live[uid] = at
 					if over != nil && v.over != nil {
 						v.over(uid, *over, ev.Stamp) // most polls of a job that is done need no look-up
 					}
@@ -151,9 +160,9 @@
 	if err != nil {
 		return err
 	}
-	live := make(map[string]bool, len(rows))
+	live := make(map[string]standing, len(rows))
 	for _, row := range rows {
-		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]] = store.OverIn(row.Value) == nil
+		live[row.Path[min(len(store.PrefixJob), len(row.Path)):]], _ = standingOf(row.Value)
 	}
 	v.mu.Lock()
 	v.live, v.epoch, v.loaded = live, epoch, true
--- a/api/view_test.go
+++ b/api/view_test.go
@@ -23,10 +23,10 @@
 	srv := httptest.NewServer(state.Handler("a"))
 	defer srv.Close()
 	st := store.New(strings.TrimPrefix(srv.URL, "http://"), config.State{RPS: 10000, WriteRPS: 10000, TxnOps: 24, ValueKB: 8}, 1)
-	v := &view{st: st, ck: clock.New(nil), live: map[string]bool{},
+	v := &view{st: st, ck: clock.New(nil), live: map[string]standing{},
 		count: func(context.Context, []string) map[string][2]int { return nil }}
 	set := func(uid string) {
-		if _, err := st.Commit(t.Context(), store.Urgent, wire.Txn{Apply: []wire.Apply{{Set: store.JobKey(uid), Value: store.JobRecord{}}}}); err != nil {
+		if _, err := st.Commit(t.Context(), store.Urgent, wire.Txn{Apply: []wire.Apply{{Set: store.JobKey(uid), Value: store.JobRecord{Spec: wire.Spec{UID: uid}}}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/cmd/cedardoor/main.go
+++ b/cmd/cedardoor/main.go
@@ -125,7 +125,7 @@
 			return nil
 		},
 	})
-	root.AddCommand(teamsCommand())
+	root.AddCommand(teamsCommand(), recoveryCommand())
 	root.CompletionOptions.DisableDefaultCmd = true
 	return root
 }
--- a/cmd/cedardoor/teams_test.go
+++ b/cmd/cedardoor/teams_test.go
@@ -24,9 +24,15 @@
 
 // controller answers at an operators' address.
 func controller(t *testing.T, status int, body any) string {
+	t.Helper()
+	return controllerAt(t, operator.PathTeams, status, body)
+}
+
+// controllerAt is one that is asked for one report only.
+func controllerAt(t *testing.T, path string, status int, body any) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != operator.PathTeams {
+		if r.URL.Path != path {
 			t.Errorf("asked for %s", r.URL)
 		}
 		w.WriteHeader(status)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -169,7 +169,12 @@
 // unbooked is what a report shows of a task that is not on the books.
 type unbooked struct{ status string }
 
-func (u unbooked) ended() bool { return u.status == wire.PieceEnded }
+func (u unbooked) sign() recovery.Sign {
+	if u.status == wire.PieceEnded {
+		return recovery.SignEnded
+	}
+	return recovery.SignRunning
+}
 
 // Free is the room that nothing is booked on.
 func (m *Machine) Free() (cores, accel, ram float64) {
@@ -215,8 +220,8 @@
 	// matters for placing.
 	Touched func(m *Machine)
 	// Decide, if set, tells what follows for a task that a worker shows and that is not on
-	// the books. Where it is not set, such a task is stopped.
-	Decide func(task TaskID, attempt uint64) recovery.Decision
+	// the books. Where it is not set, such a task is stopped and forgotten.
+	Decide func(task TaskID, sign recovery.Sign) recovery.Decision
 	// unbooked is where tasks are that are shown and not on the books.
 	unbooked map[TaskID]map[*Machine]bool
 	// Visits counts machines and bookings looked at, so that tests can bound the work.
@@ -897,15 +902,15 @@
 		if len(orders) >= maxOrders {
 			break
 		}
-		switch {
-		case m.unbooked[k].ended():
-			if viaHeartbeat && m.Token >= f.first {
-				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: k.task.String(), Try: k.attempt})
-			}
-		case f.decide(k) == recovery.Stop:
+		switch f.decide(k, m.unbooked[k].sign()) {
+		case recovery.Stop:
 			// It is stopped, then forgotten.
 			zero := 0.0
 			orders = append(orders, wire.Order{Verb: wire.VerbHalt, Piece: k.task.String(), Try: k.attempt, LeewayS: &zero})
+		case recovery.Release:
+			if viaHeartbeat && m.Token >= f.first {
+				orders = append(orders, wire.Order{Verb: wire.VerbForget, Piece: k.task.String(), Try: k.attempt})
+			}
 		}
 	}
 	for _, b := range m.list {
--- a/fleet/unbooked.go
+++ b/fleet/unbooked.go
@@ -17,7 +17,7 @@
 // addUnbooked notes a task that a report shows and that is not on the books.
 func (f *Fleet) addUnbooked(m *Machine, k key, status string) {
 	m.unbooked[k] = unbooked{status: status}
-	if m.unbooked[k].ended() {
+	if m.unbooked[k].sign() != recovery.SignRunning {
 		return
 	}
 	m.unbookedLive++
@@ -46,14 +46,17 @@
 }
 
 // decide tells what follows for a task that is not on the books.
-func (f *Fleet) decide(k key) recovery.Decision {
-	if f.Decide == nil {
+func (f *Fleet) decide(k key, sign recovery.Sign) recovery.Decision {
+	switch {
+	case f.Decide != nil:
+		return f.Decide(k.task, sign)
+	case sign == recovery.SignRunning:
 		return recovery.Stop
 	}
-	return f.Decide(k.task, k.attempt)
+	return recovery.Release
 }
 
-// Unbooked is how many tasks that are not on the books the machine shows.
+// Unbooked is how many tasks that are not on the books run on the machine.
 func (m *Machine) Unbooked() int { return m.unbookedLive }
 
 // MayRunUnbooked tells whether a machine shows a task that is not on the books: it may
@@ -69,11 +72,9 @@
 
 // EachUnbooked calls do for every task that a machine shows and that is not on the books, in a
 // fixed order.
-func (f *Fleet) EachUnbooked(m *Machine, do func(task TaskID, attempt uint64)) {
+func (f *Fleet) EachUnbooked(m *Machine, do func(task TaskID, attempt uint64, sign recovery.Sign)) {
 	for _, k := range sorted(m.unbooked) {
-		if !m.unbooked[k].ended() {
-			do(k.task, k.attempt)
-		}
+		do(k.task, k.attempt, m.unbooked[k].sign())
 	}
 }
 
@@ -93,7 +94,7 @@
 	return out
 }
 
-// AllUnbooked calls do for every task that a machine shows and that is not on the books, in
+// AllUnbooked calls do for every task that runs on a machine and is not on the books, in
 // a fixed order.
 func (f *Fleet) AllUnbooked(do func(m *Machine, task TaskID, attempt uint64)) {
 	on := map[string]*Machine{}
@@ -104,11 +105,16 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(on)) {
 		m := on[name]
-		f.EachUnbooked(m, func(task TaskID, attempt uint64) { do(m, task, attempt) })
+		f.EachUnbooked(m, func(task TaskID, attempt uint64, sign recovery.Sign) {
+			if sign == recovery.SignRunning {
+				do(m, task, attempt)
+			}
+		})
 	}
 }
 
-// Book takes a task that a worker shows onto the books, as recorded: it runs already.
+// Book takes a task that a worker shows onto the books, as recorded. If it has ended, its
+// next report brings that as news.
 func (f *Fleet) Book(m *Machine, b *Booking, now clock.Micros) {
 	f.Adopt(m, b, now)
 	k := key{b.Task, b.Attempt}
@@ -120,8 +126,11 @@
 	if b.Status == wire.PieceRunning {
 		b.Running = now
 	}
-	b.reservation.Shown()
 	delete(m.unbooked, k)
+	if shown.sign() != recovery.SignRunning {
+		return
+	}
+	b.reservation.Shown()
 	m.unbookedLive--
 	f.leaveUnbooked(m, b.Task)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -39,7 +40,7 @@
 		session: 1, pieces: map[string]*wire.PieceReport{}}
 }
 
-func key(piece string, try uint64) string { return piece + "#" + string(rune('0'+try)) }
+func key(piece string, try uint64) string { return fmt.Sprintf("%s#%d", piece, try) }
 
 // report builds the current report. The caller holds mu.
 func (w *Worker) report() wire.Beat {
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,10 +13,16 @@
 	"time"
 
 	"cedardoor/quota"
+	"cedardoor/recovery"
 )
 
-// PathTeams is where a controller tells what teams use.
-const PathTeams = "/teams"
+// Where a controller shows the leader's reports.
+const (
+	// PathTeams: what teams use.
+	PathTeams = "/teams"
+	// PathRecovery: how far the leader has taken over.
+	PathRecovery = "/recovery"
+)
 
 // Failure is the body of an answer that is an error.
 type Failure struct {
@@ -41,13 +47,23 @@
 
 // Teams asks the controller with the given operators' address what teams use.
 func Teams(ctx context.Context, address string) (quota.Report, error) {
-	var report quota.Report
+	return fetch[quota.Report](ctx, address, PathTeams)
+}
+
+// Recovery asks the controller with the given operators' address how far the leader has
+// taken over.
+func Recovery(ctx context.Context, address string) (recovery.Report, error) {
+	return fetch[recovery.Report](ctx, address, PathRecovery)
+}
+
+// fetch reads a report.
+func fetch[T any](ctx context.Context, address, path string) (report T, err error) {
 	if _, _, err := net.SplitHostPort(address); err != nil {
 		return report, fmt.Errorf("address %q: %w", address, ErrAddress)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathTeams, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return report, fmt.Errorf("address %q: %w", address, err)
 	}
--- a/operator/print.go
+++ b/operator/print.go
@@ -30,14 +30,18 @@
 // PrintTeams prints a report of the teams.
 func PrintTeams(w io.Writer, report quota.Report, form string) error {
 	if form == OutputJSON {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(report)
+		return printJSON(w, report)
 	}
-	return printTable(w, report)
+	return printTeamsTable(w, report)
 }
 
-func printTable(w io.Writer, report quota.Report) error {
+func printJSON(w io.Writer, report any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+func printTeamsTable(w io.Writer, report quota.Report) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "TEAM\tRESOURCE\tIN USE\tRUNNING\tBOOKED\tIN DOUBT\tSTOPPING\tLIMIT\tGUARANTEE\tWAITING\tWHY")
 	for _, team := range report.Teams {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,8 +28,12 @@
 	// What do teams use, for operators? TeamsAfter is the last one that is known already.
 	Teams      bool
 	TeamsAfter string
+	Report     string // a kind of report for operators, empty for none
 }
 
+// ReportRecovery is how far a leader has taken over, as JSON of recovery.Report.
+const ReportRecovery = "recovery"
+
 // TeamsPage is what a leader tells of the teams. It travels encoded by itself: each
 // connection between controllers would else carry and compile its types, though
 // operators seldom ask.
@@ -78,6 +82,7 @@
 	Status int
 	Body   []byte
 	Teams  []byte // a TeamsPage; empty unless the sender leads
+	Report []byte // the report that was asked for; empty unless the sender leads
 	Epoch  uint64 // of the cancel of the job that a user's request was about, if it was cancelled
 }
 
--- a/recover.go
+++ b/recover.go
@@ -298,7 +298,7 @@
 // decoded. A report may be an old copy, so only one of a machine that has shown this leader's
 // token counts. The caller holds mu.
 func (g *term) adoptShown(m *fleet.Machine, now clock.Micros) {
-	if m.Unbooked() == 0 || !m.Reported || m.Suspect {
+	if len(g.unreadable) == 0 || !m.Reported || m.Suspect {
 		return
 	}
 	type shown struct {
@@ -306,8 +306,8 @@
 		attempt uint64
 	}
 	var found []shown
-	g.fl.EachUnbooked(m, func(task fleet.TaskID, attempt uint64) {
-		if g.decideUnbooked(task, attempt) == recovery.Adopt {
+	g.fl.EachUnbooked(m, func(task fleet.TaskID, attempt uint64, sign recovery.Sign) {
+		if d := g.decideUnbooked(task, sign); d == recovery.Adopt || d == recovery.TakeResult {
 			found = append(found, shown{task, attempt})
 		}
 	})
@@ -359,12 +359,13 @@
 	g.log.Info("every machine is accounted for: tasks of unreadable records that none has shown may start", "tasks", tasks)
 }
 
-// allAccounted tells whether what every machine may run is known: it has shown this leader's
-// token and reports, or its lease is over. The caller holds mu.
+// allAccounted tells whether what every machine may run is known: it reports and has shown this
+// leader's token, so that no older command can start anything there, or its lease is over. An
+// answer to a question shows what runs, but refuses no older command. The caller holds mu.
 func (g *term) allAccounted(now clock.Micros) bool {
 	accounted := true
 	g.fl.All(func(m *fleet.Machine) {
-		trusted := m.Reported && !m.Suspect && !m.Hushed
+		trusted := m.Reported && !m.Suspect && !m.Hushed && m.Token >= g.r.Token
 		if !trusted && m.AnsweredAt > 0 && !m.Lapsed(now) {
 			accounted = false
 		}
@@ -400,9 +401,11 @@
 
 // decideUnbooked tells what follows for a task that a worker shows and that is not on the
 // books. The caller holds mu.
-func (g *term) decideUnbooked(id fleet.TaskID, _ uint64) recovery.Decision {
-	c := recovery.Case{Job: recovery.JobActive, Attempt: recovery.AttemptOther, Sign: recovery.SignRunning}
+func (g *term) decideUnbooked(id fleet.TaskID, sign recovery.Sign) recovery.Decision {
+	c := recovery.Case{Job: recovery.JobActive, Attempt: recovery.AttemptOther, Sign: sign}
 	switch j := g.jobs[id.Job]; {
+	case j == nil && sign != recovery.SignRunning:
+		c.Job = recovery.JobNotRead // what its job is makes no difference
 	case j == nil:
 		c.Job = g.jobState(id.Job)
 	case j.cancelled:
@@ -419,8 +422,8 @@
 	if m.Unbooked() == 0 {
 		return false
 	}
-	g.fl.EachUnbooked(m, func(task fleet.TaskID, attempt uint64) {
-		stops = stops || g.decideUnbooked(task, attempt) == recovery.Stop
+	g.fl.EachUnbooked(m, func(task fleet.TaskID, _ uint64, sign recovery.Sign) {
+		stops = stops || g.decideUnbooked(task, sign) == recovery.Stop
 	})
 	return stops
 }
@@ -552,7 +555,7 @@
 	var unrecorded []recovery.Unrecorded
 	g.fl.AllUnbooked(func(m *fleet.Machine, task fleet.TaskID, attempt uint64) {
 		unrecorded = append(unrecorded, recovery.Unrecorded{Task: task.String(), Attempt: attempt, Machine: m.Name, Zone: m.Zone,
-			Why: g.decideUnbooked(task, attempt).String()})
+			Why: g.decideUnbooked(task, recovery.SignRunning).String()})
 	})
 	r.List(unrecorded, g.damaged)
 	return r, true
--- a/service.go
+++ b/service.go
@@ -50,7 +50,7 @@
 	term    atomic.Pointer[term]
 	front   *chi.Mux
 	budget  connlimit.Budget
-	teams   teamsView
+	reports reports
 	// newLedger makes the ledger of a term; tests put a broken one in its place.
 	newLedger func(teams map[string]quota.Limits) *quota.Ledger
 	// readRecords reads what predecessors left; tests put other records in their place.
@@ -86,6 +86,7 @@
 		s.users.Relay = s.relay
 		s.users.Alone = s.alone
 	}
+	s.wireReports()
 	s.front = chi.NewRouter()
 	s.users.Routes(s.front)
 	return s
@@ -117,7 +118,7 @@
 	})
 	if s.op.Metrics.Listen != "" {
 		ms := &http.Server{Addr: s.op.Metrics.Listen, Handler: s.operators(), ReadHeaderTimeout: 10 * time.Second}
-		wg.Go(func() { s.refreshTeams(ctx) })
+		wg.Go(func() { s.refreshReports(ctx) })
 		wg.Go(func() {
 			if err := ms.ListenAndServe(); ctx.Err() == nil {
 				failed <- fmt.Errorf("metrics: %w", err)
@@ -212,6 +213,9 @@
 	if a.Teams {
 		r.Teams = s.teamsPage(a.TeamsAfter)
 	}
+	if a.Report != "" {
+		r.Report = s.reportFor(a.Report)
+	}
 	if a.Path != "" && !s.st.Failing() {
 		req, err := http.NewRequestWithContext(api.Relayed(ctx), a.Method, a.Path, bytes.NewReader(a.Body))
 		if err != nil {
--- a/silence.go
+++ b/silence.go
@@ -227,6 +227,7 @@
 	case ctx.Err() != nil || g.fl.Machine(m.Name) != m:
 	case err == nil && rep.Host == m.Name:
 		g.news(g.fl.Answers(now, known, rep), now)
+		g.adoptShown(m, now)
 		if m.CountsAnew() {
 			g.toTell[m] = true
 		}
--- a/step.go
+++ b/step.go
@@ -305,6 +305,7 @@
 		g.fl.Obeyed(m)
 		news, _ := g.fl.Report(now, rep, false)
 		g.news(news, now)
+		g.adoptShown(m, now)
 	case err != nil && err != errLate && ctx.Err() == nil:
 		g.fl.Missed(m)
 	}
--- a/store/records.go
+++ b/store/records.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -112,15 +113,21 @@
 }
 
 // OverIn gives the final state that a job's record holds; nil when the job is
-// not over.
-func OverIn(value []byte) *OverRecord {
+// not over. A record that can't be decoded tells neither.
+func OverIn(value []byte) (*OverRecord, error) {
 	var rec struct {
+		Spec struct {
+			UID string `msgpack:"uid"`
+		} `msgpack:"s"`
 		Over *OverRecord `msgpack:"o"`
 	}
-	if wire.Unmarshal(value, &rec) != nil {
-		return nil
+	if err := wire.Unmarshal(value, &rec); err != nil {
+		return nil, fmt.Errorf("job record: %w", err)
 	}
-	return rec.Over
+	if rec.Spec.UID == "" {
+		return nil, errors.New("job record: no job")
+	}
+	return rec.Over, nil
 }
 
 // Placed is a task's recorded attempt: an empty Host means that it waits.
--- a/teams.go
+++ b/teams.go
@@ -2,25 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"net/http"
-	"sync"
-	"time"
 
 	"cedardoor/clock"
-	"cedardoor/operator"
 	"cedardoor/peer"
 	"cedardoor/quota"
-
-	"github.com/go-chi/chi/v5"
-)
-
-// How often a controller that serves operators looks at the leader's ledger, so that it
-// can tell what it was when nobody leads, and how long one answer of the leader may take.
-const (
-	teamsRefresh = 5 * clock.Second
-	teamsTimeout = time.Second
 )
 
 // teamsPerPage bounds one message between controllers: a team takes some 300 bytes.
@@ -29,52 +14,6 @@
 // newFor is how long a job counts as new: a plan has hardly seen it.
 const newFor = 2 * clock.Second
 
-// errNoView means that this controller has never seen a leader's ledger.
-var errNoView = errors.New("no leader has been heard since this controller started")
-
-// teamsView is the last ledger that this controller has seen.
-type teamsView struct {
-	mu     sync.Mutex // guards the fields below
-	report quota.Report
-	at     clock.Micros
-	seen   bool
-}
-
-func (v *teamsView) keep(r quota.Report, now clock.Micros) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.report, v.at, v.seen = r, now, true
-}
-
-// last gives the last view with its age.
-func (v *teamsView) last(now clock.Micros) (r quota.Report, seen bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	r = v.report
-	r.Fresh, r.AgeS = false, (now - v.at).Seconds()
-	return r, v.seen
-}
-
-// Teams reports what teams use: as the leader's ledger has it now, or, where no leader
-// answers, as this controller saw it last.
-func (s *Service) Teams(ctx context.Context) (quota.Report, error) {
-	r, err := s.leadersTeams(ctx)
-	if err == nil {
-		s.teams.keep(r, s.ck.Now())
-	} else {
-		s.log.Debug("the leader's ledger can't be read", "error", err)
-		var seen bool
-		if r, seen = s.teams.last(s.ck.Now()); !seen {
-			return quota.Report{}, errNoView
-		}
-	}
-	r.Node = s.cfg.Node
-	return r, nil
-}
-
-// errNoLeader means that no controller is known to lead, or the one that is does not answer as leader.
-var errNoLeader = errors.New("nobody leads")
-
 // leadersTeams reads the leader's ledger, here or at the controller that leads.
 func (s *Service) leadersTeams(ctx context.Context) (quota.Report, error) {
 	leader := s.el.Leader()
@@ -98,7 +37,7 @@
 
 // teamsOf reads the ledger of a controller that leads, page by page.
 func teamsOf(ctx context.Context, link *peer.Link) (teams []quota.TeamReport, err error) {
-	ctx, cancel := context.WithTimeout(ctx, teamsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for after, more := "", true; more; {
 		reply, err := link.Ask(ctx, peer.Ask{Teams: true, TeamsAfter: after})
@@ -149,20 +88,6 @@
 	return raw
 }
 
-// refreshTeams keeps the last view recent until ctx ends.
-func (s *Service) refreshTeams(ctx context.Context) {
-	for {
-		if r, err := s.leadersTeams(ctx); err == nil {
-			s.teams.keep(r, s.ck.Now())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.ck.After(teamsRefresh.Duration()):
-		}
-	}
-}
-
 // teamReports tells what each team uses and what of its work waits; false where this
 // controller does not know, because its lease as leader or its records are not there.
 func (g *term) teamReports() ([]quota.TeamReport, bool) {
@@ -239,20 +164,3 @@
 	}
 	return quota.ReasonRoom
 }
-
-// operators serves what operators ask for: figures and the teams' use.
-func (s *Service) operators() http.Handler {
-	r := chi.NewRouter()
-	r.Mount("/", s.met.Handler())
-	r.Get(operator.PathTeams, func(w http.ResponseWriter, req *http.Request) {
-		report, err := s.Teams(req.Context())
-		w.Header().Set("Content-Type", "application/json")
-		if err != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			_ = json.NewEncoder(w).Encode(operator.Failure{Error: err.Error()})
-			return
-		}
-		_ = json.NewEncoder(w).Encode(report)
-	})
-	return r
-}
