Measurement: real controllers on loopback that all end, with hundreds of stand-in workers

TestLoopbackLoss kills three processes with mixed work running, returns one to three after 0.5 to 55 s and prints commands by kind, times, requests and memory, holding the workers' histories against the promises. Results that no answered report has told are lost with a worker's lease: the checker knows them now.

--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -52,12 +52,25 @@
 	}
 }
 
-// drop ends all tasks at once, without a report. The caller holds mu.
+// drop ends all tasks at once, without a report. Results that no answered report has told are
+// lost with them. The caller holds mu.
 func (m *Machine) drop(cause string) {
 	for _, t := range m.tasks {
-		if t.live() {
+		if t.live() || !t.told {
 			m.tell(EventEnded, t, cause)
 		}
 	}
 	m.tasks = nil
 }
+
+// answered notes that a report was. The caller holds mu.
+func (m *Machine) answered(rep wire.Beat) {
+	for _, p := range rep.Pieces {
+		if p.Status != wire.PieceEnded {
+			continue
+		}
+		for _, t := range m.tasks {
+			t.told = t.told || t.Piece == p.Piece && t.Try == p.Try
+		}
+	}
+}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -79,6 +79,7 @@
 	wire.PieceReport
 	spec wire.Spec
 	due  time.Time // of the image, then of the end
+	told bool      // a report of its end was answered
 }
 
 func (t *task) live() bool { return t.Status != wire.PieceEnded }
@@ -245,6 +246,7 @@
 				m.told = now
 			}
 			m.see(a.Warrant)
+			m.answered(rep)
 			m.execute(a.Orders)
 			return
 		case http.StatusMisdirectedRequest:
--- /dev/null
+++ b/loopback_loss_test.go
@@ -0,0 +1,252 @@
+package cedardoor
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cedardoor/internal/standin"
+	"cedardoor/operator"
+	"cedardoor/recovery"
+	"cedardoor/wire"
+)
+
+// A measurement on real processes and sockets, outside CI: see docs/recovery.md.
+var lossWorkers = flag.Int("loopback.loss", 0, "how many workers real controllers have that are all killed; 0: not at all")
+
+// lossScenes are the losses that the measurement plays, one after another on one platform.
+var lossScenes = []totalLoss{
+	{spell: 0.5, returns: 3}, {spell: 0.5, returns: 1}, {spell: 6, returns: 3}, {spell: 6, returns: 1},
+	{spell: 25, returns: 2}, {spell: 25, returns: 1}, {spell: 55, returns: 3}, {spell: 55, returns: 1},
+}
+
+// loopbackLoss is a platform of real controllers that all end.
+type loopbackLoss struct {
+	*loopback
+	h     *histories
+	jobs  [][]submission // of each scene
+	fixed []submission   // run throughout
+}
+
+// wholeMachine makes a job's tasks take a machine each.
+func wholeMachine(mod func(sp *wire.Spec)) func(sp *wire.Spec) {
+	return func(sp *wire.Spec) { mod(sp); sp.Cores, sp.RAM = 4, 8 }
+}
+
+func newLoopbackLoss(ctx context.Context, t *testing.T, workers int) *loopbackLoss {
+	l := &loopbackLoss{h: &histories{}}
+	s := schedule{most: 2 * workers, timing: lossTiming, watch: l.h.watch, limits: map[string]float64{"free": 0, "tight": tightLimit}, floors: map[string]float64{}}
+	add := func(to *[]submission, runs float64, mod func(sp *wire.Spec)) {
+		u := user(len(s.users)+1, 0, runs, mod)
+		s.users = append(s.users, u)
+		*to = append(*to, u)
+	}
+	for range 5 {
+		add(&l.fixed, 0, wholeMachine(standing(workers/8)))
+	}
+	add(&l.fixed, 0, func(sp *wire.Spec) { standing(4)(sp); sp.Owner = "tight" })
+	for range lossScenes {
+		var jobs []submission
+		for range 2 {
+			add(&jobs, 100, wholeMachine(func(sp *wire.Spec) { sp.Pieces, sp.Loaned = workers/8, true }))
+		}
+		for range 12 {
+			add(&jobs, 90, func(sp *wire.Spec) { sp.Loaned = true })
+		}
+		for range 3 { // cancelled right before the loss
+			add(&jobs, 300, func(sp *wire.Spec) { sp.Pieces, sp.Loaned = 4, true })
+		}
+		l.jobs = append(l.jobs, jobs)
+	}
+	s.setup = func(w *world) { w.cloud.Told = l.h.told }
+	l.loopback = newLoopback(ctx, t, s)
+	small := bigBuild
+	small.SKU, small.Cores, small.RAM, small.Hourly, small.Spot = "s", 4, 16, 0.5, 0.2
+	small.ReadyS, small.FetchGBs, small.CacheGB = 2, 4, 100
+	l.cloud.Builds = []wire.Build{small}
+	return l
+}
+
+// submitAll submits jobs until all are accepted.
+func (l *loopbackLoss) submitAll(ctx context.Context, jobs []submission) {
+	for _, u := range jobs {
+		raw := bodyOf(l.t, u.spec, nil)
+		for n := 0; ctx.Err() == nil; n++ {
+			status, _, err := l.send(ctx, l.names[n%len(l.names)], wire.PathRuns, raw)
+			if err == nil && (status == http.StatusCreated || status == http.StatusOK) {
+				l.mu.Lock()
+				l.facts[u.spec.UID].accepted, l.facts[u.spec.UID].moved = true, time.Now()
+				l.mu.Unlock()
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
+
+// cancelJob cancels a job until that is confirmed.
+func (l *loopbackLoss) cancelJob(ctx context.Context, uid string) {
+	l.mu.Lock()
+	l.facts[uid].asked = true
+	l.mu.Unlock()
+	for n := 0; ctx.Err() == nil; n++ {
+		status, _, err := l.send(ctx, l.names[n%len(l.names)], wire.PathRuns+"/"+uid+"/"+wire.SuffixAbort, nil)
+		if err == nil && status == http.StatusOK {
+			l.mu.Lock()
+			l.facts[uid].cancelled, l.facts[uid].cancelledAt = true, time.Now()
+			l.mu.Unlock()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// running counts the tasks of jobs that are on machines, and all that they have.
+func (l *loopbackLoss) runningOf(jobs []submission) (run, want int) {
+	for _, u := range jobs {
+		want += u.spec.Pieces
+		for _, n := range l.on(u.spec.UID) {
+			run += n
+		}
+	}
+	return run, want
+}
+
+// peakMemory is the most that a process has held, in MB.
+func peakMemory(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			kb, _ := strconv.ParseFloat(fields[1], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// report asks each controller that is up for the leader's recovery, as operators do.
+func (l *loopbackLoss) report(ctx context.Context, up int) (r recovery.Report, known bool) {
+	for _, name := range l.names[:up] {
+		if r, err := operator.Recovery(ctx, l.asked[name]); err == nil && r.Fresh {
+			return r, true
+		}
+	}
+	return r, false
+}
+
+// play plays one loss and gives its figures and faults.
+func (l *loopbackLoss) play(ctx context.Context, x totalLoss, jobs []submission) (f lossFigures, faults []string, memory float64) {
+	f.Scene = fmt.Sprintf("%d back after %.1f s", x.returns, x.spell)
+	steady := jobs[:len(jobs)-3]
+	l.submitAll(ctx, jobs)
+	for deadline := time.Now().Add(90 * time.Second); ; time.Sleep(200 * time.Millisecond) {
+		run, want := l.runningOf(append(append([]submission{}, l.fixed...), jobs...))
+		if run == want {
+			break
+		}
+		if time.Now().After(deadline) {
+			return f, []string{fmt.Sprintf("%s: %d of %d tasks run before the loss", f.Scene, run, want)}, 0
+		}
+	}
+	for _, u := range jobs[len(jobs)-3:] {
+		l.cancelJob(ctx, u.spec.UID)
+	}
+	for _, name := range l.names {
+		l.signal(name, syscall.SIGKILL)
+	}
+	lost := time.Now()
+	time.Sleep(at(x.spell))
+	back := time.Now()
+	requests, changes := l.state.Requests(), l.state.Puts()
+	for _, name := range l.names[:x.returns] {
+		l.start(name)
+	}
+	for time.Since(back) < recoverySpan {
+		time.Sleep(100 * time.Millisecond)
+		since := time.Since(back).Seconds()
+		r, known := l.report(ctx, x.returns)
+		run, want := l.runningOf(append(append([]submission{}, l.fixed...), steady...))
+		f.Progress = append(f.Progress, progressPoint{AtS: since, Awaited: r.Machines.Awaited, Reconciled: r.Machines.Reconciled, Replicas: run})
+		f.Machines = max(f.Machines, r.Machines.Recorded)
+		settled := r.Machines.Reconciled + r.Machines.Gone
+		if n := r.Machines.Recorded; known && n > 0 && f.MostReconciled == 0 && 10*settled >= 9*n {
+			f.MostReconciled = since
+		}
+		if known && r.Stage == recovery.StageComplete && f.AllReconciled == 0 {
+			f.AllReconciled = since
+		}
+		if f.AllReconciled > 0 && run == want && f.AllGoingS == 0 {
+			f.AllGoingS = since
+			f.StateRequests, f.StateChanges = l.state.Requests()-requests, l.state.Puts()-changes
+		}
+	}
+	l.h.mu.Lock()
+	for _, e := range l.h.events {
+		if e.Kind == standin.EventOrdered && e.At.After(back) {
+			f.FirstOrderS = e.At.Sub(back).Seconds()
+			break
+		}
+	}
+	l.h.mu.Unlock()
+	f.Commands = l.h.counts(back, back.Add(recoverySpan))
+	faults = l.h.faults(lost, back, back.Add(recoverySpan), func(uid string) bool { return l.facts[uid].asked })
+	l.procMu.Lock()
+	for _, name := range l.names[:x.returns] {
+		memory = max(memory, peakMemory(l.procs[name].Process.Pid))
+	}
+	l.procMu.Unlock()
+	for _, name := range l.names[x.returns:] {
+		l.start(name)
+	}
+	return f, faults, memory
+}
+
+// TestLoopbackLoss kills all real controllers on loopback, with hundreds of stand-in workers and
+// mixed work, and returns some after several spells. It prints what the recoveries took.
+func TestLoopbackLoss(t *testing.T) {
+	if *lossWorkers == 0 {
+		t.Skip("a measurement on the wall clock: run with -loopback.loss 300 -loopback.binary target/cedardoor")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := newLoopbackLoss(ctx, t, *lossWorkers)
+	time.Sleep(3 * time.Second)
+	l.submitAll(ctx, l.fixed)
+	for i, x := range lossScenes {
+		f, faults, memory := l.play(ctx, x, l.jobs[i])
+		t.Logf("%s: %d machines, first command %.2f s, most reconciled %.2f s, all %.2f s, all going %.2f s, %+v, %d requests, %d changes, peak %.0f MB", f.Scene, f.Machines,
+			f.FirstOrderS, f.MostReconciled, f.AllReconciled, f.AllGoingS, f.Commands, f.StateRequests, f.StateChanges, memory)
+		for _, fault := range faults {
+			t.Errorf("%s: %s", f.Scene, fault)
+		}
+		f.Scene = "real processes, " + f.Scene
+		if err := keepFigures(f); err != nil {
+			t.Error(err)
+		}
+		for _, u := range l.jobs[i][len(l.jobs[i])-3:] {
+			if run, _ := l.runningOf([]submission{u}); run > 0 && time.Since(l.facts[u.spec.UID].cancelledAt) > lossTiming.cancel {
+				t.Errorf("%s: %s is cancelled, and %d tasks run", f.Scene, u.spec.UID, run)
+			}
+		}
+	}
+	if run, want := l.runningOf(l.fixed); run != want {
+		t.Errorf("%d of %d replicas run in the end", run, want)
+	}
+	cancel()
+	for _, name := range l.names {
+		l.signal(name, syscall.SIGKILL)
+	}
+	l.wg.Wait()
+	for _, b := range l.broken {
+		t.Error(b)
+	}
+}
--- a/loopback_test.go
+++ b/loopback_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -51,7 +52,9 @@
 	*world
 	names   []string
 	clients map[string]string // addresses for users and workers, by controller
+	asked   map[string]string // addresses for operators
 	files   map[string]string
+	options map[string]string // operators' settings
 	http    *http.Client
 
 	procMu sync.Mutex // guards procs
@@ -114,8 +117,9 @@
 }
 
 // newLoopback sets the platform up and starts its controllers.
-func newLoopback(ctx context.Context, t *testing.T) *loopback {
-	l := &loopback{world: newWorld(ctx, t, loopbackSchedule()), clients: map[string]string{}, files: map[string]string{}, procs: map[string]*exec.Cmd{},
+func newLoopback(ctx context.Context, t *testing.T, s schedule) *loopback {
+	l := &loopback{world: newWorld(ctx, t, s), clients: map[string]string{}, asked: map[string]string{}, files: map[string]string{}, options: map[string]string{},
+		procs: map[string]*exec.Cmd{},
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	l.cloud.Boot = l.bootLoopback
 	cloudAddress := serveLoopback(t, l.cloud)
@@ -124,7 +128,7 @@
 	for i := range nodes {
 		nodes[i] = config.Node{Node: fmt.Sprintf("node-%d", i+1), Area: "x", Addr: freeAddress(t)}
 		l.names = append(l.names, nodes[i].Node)
-		l.clients[nodes[i].Node] = freeAddress(t)
+		l.clients[nodes[i].Node], l.asked[nodes[i].Node] = freeAddress(t), freeAddress(t)
 	}
 	for i, node := range nodes {
 		cfg := config.Platform{Node: node.Node, Area: "x", ClientListen: l.clients[node.Node], Back: node.Addr, Others: slices.Concat(nodes[:i], nodes[i+1:])}
@@ -142,7 +146,9 @@
 			t.Fatal(err)
 		}
 		l.files[node.Node] = filepath.Join(t.TempDir(), node.Node+".json")
-		if err := os.WriteFile(l.files[node.Node], raw, 0o600); err != nil {
+		l.options[node.Node] = filepath.Join(t.TempDir(), node.Node+"-settings.json")
+		options := fmt.Appendf(nil, `{"metrics": {"listen": %q}}`, l.asked[node.Node])
+		if err := errors.Join(os.WriteFile(l.files[node.Node], raw, 0o600), os.WriteFile(l.options[node.Node], options, 0o600)); err != nil {
 			t.Fatal(err)
 		}
 		l.start(node.Node)
@@ -154,7 +160,7 @@
 func (l *loopback) start(name string) {
 	l.procMu.Lock()
 	defer l.procMu.Unlock()
-	cmd := exec.Command(*loopbackBinary, "--config", l.files[name])
+	cmd := exec.Command(*loopbackBinary, "--config", l.files[name], "--settings", l.options[name])
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
@@ -186,7 +192,7 @@
 
 // bootLoopback plays a rented machine whose worker talks over loopback.
 func (l *loopback) bootLoopback(h wire.Host, b wire.Build) *standin.Machine {
-	m := &standin.Machine{Host: h, Build: b, Report: l.s.timing.report, Lease: l.s.timing.lease, Nodes: l.names, Ledger: l.world,
+	m := &standin.Machine{Host: h, Build: b, Report: l.s.timing.report, Lease: l.s.timing.lease, Nodes: l.names, Ledger: l.world, Watch: l.s.watch,
 		Held: func() time.Duration { return 0 },
 		Beat: func(ctx context.Context, _ *standin.Machine, node string, rep wire.Beat) (int, []byte, error) {
 			return l.post(ctx, node, wire.PathBeat, rep)
@@ -302,7 +308,7 @@
 		t.Skip("a measurement on the wall clock: run with -loopback 60s -loopback.binary target/cedardoor")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := newLoopback(ctx, t)
+	l := newLoopback(ctx, t, loopbackSchedule())
 	watch := newGuaranteeWatch(l.world)
 	time.Sleep(3 * time.Second)
 	load, stopLoad := context.WithTimeout(ctx, *loopbackSpan)
