--- a/large_test.go
+++ b/large_test.go
@@ -39,6 +39,14 @@
 	return users
 }
 
+// useSmallMachines lets the cloud have machines for one large task each only.
+func (w *world) useSmallMachines() {
+	small := bigBuild
+	small.SKU, small.Cores, small.RAM, small.Hourly, small.Spot = "s", 4, 16, 0.5, 0.2
+	small.ReadyS, small.FetchGBs, small.CacheGB = 2, 4, 100
+	w.cloud.Builds = []wire.Build{small}
+}
+
 // up is how many machines have booted.
 func (w *world) up() (n int) {
 	for _, m := range w.cloud.Machines() {
@@ -63,10 +71,7 @@
 		{kind: cutZone, at: at(70), lasts: at(30), which: 0},
 	}
 	s.setup = func(w *world) {
-		small := bigBuild
-		small.SKU, small.Cores, small.RAM, small.Hourly, small.Spot = "s", 4, 16, 0.5, 0.2
-		small.ReadyS, small.FetchGBs, small.CacheGB = 2, 4, 100
-		w.cloud.Builds = []wire.Build{small}
+		w.useSmallMachines()
 		w.during(30, func() {
 			if n := w.up(); n < sceneFleet {
 				t.Errorf("%d machines are up before the troubles, want %d", n, sceneFleet)
--- a/loopback_loss_test.go
+++ b/loopback_loss_test.go
@@ -67,10 +67,7 @@
 	}
 	s.setup = func(w *world) { w.cloud.Told = l.h.told }
 	l.loopback = newLoopback(ctx, t, s)
-	small := bigBuild
-	small.SKU, small.Cores, small.RAM, small.Hourly, small.Spot = "s", 4, 16, 0.5, 0.2
-	small.ReadyS, small.FetchGBs, small.CacheGB = 2, 4, 100
-	l.cloud.Builds = []wire.Build{small}
+	l.useSmallMachines()
 	return l
 }
 
--- a/loopback_test.go
+++ b/loopback_test.go
@@ -120,7 +120,7 @@
 func newLoopback(ctx context.Context, t *testing.T, s schedule) *loopback {
 	l := &loopback{world: newWorld(ctx, t, s), clients: map[string]string{}, asked: map[string]string{}, files: map[string]string{}, options: map[string]string{},
 		procs: map[string]*exec.Cmd{},
-		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+		http:  &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	l.cloud.Boot = l.bootLoopback
 	cloudAddress := serveLoopback(t, l.cloud)
 	writes := rate.NewLimiter(loopbackWrites, loopbackWrites)
