--- a/recover.go
+++ b/recover.go
@@ -538,12 +538,14 @@
 // reconnecting tells whether the workers have yet to find this leader: those that are not
 // heard are not lost. The caller holds mu.
 func (g *term) reconnecting(now clock.Micros) bool {
-	return g.progress.Reconnecting(now, min(g.reportWithin(), clock.FromSeconds(g.cfg.Facts.Workers.LeaseS)))
+	return g.progress.Reconnecting(now, g.reportWithin())
 }
 
-// reportWithin is how long a worker may take to find this leader where no other controller answers.
+// reportWithin is how long a worker may take to find this leader where no other controller
+// answers. After a lease there is nothing left to wait for.
 func (g *term) reportWithin() clock.Micros {
-	return recovery.ReportWithin(1+len(g.cfg.Others), clock.FromSeconds(g.cfg.Facts.Workers.ReportS))
+	workers := g.cfg.Facts.Workers
+	return min(recovery.ReportWithin(1+len(g.cfg.Others), clock.FromSeconds(workers.ReportS)), clock.FromSeconds(workers.LeaseS))
 }
 
 // recoveryReport tells operators how far the recovery is; false where this controller does
