--- a/fleetsize.go
+++ b/fleetsize.go
@@ -46,6 +46,7 @@
 			g.log.Info("cloud does not answer", "error", err)
 		}
 		trouble = err != nil
+		g.lookAround(ctx)
 		if g.op.Fleet.Enabled && listAt != 0 {
 			g.resize(ctx)
 			g.keepDemand(ctx)
--- a/recover.go
+++ b/recover.go
@@ -18,6 +18,7 @@
 type recovering struct {
 	alone       func(ctx context.Context) bool // tells whether no other controller answers
 	readRecords func(ctx context.Context, source recovery.Source) (*recovery.Records, error)
+	isAlone     bool // no other controller answered lately
 	progress    *recovery.Progress
 	progressLog progressLog
 	damaged     []recovery.Damage
@@ -538,7 +539,22 @@
 // reconnecting tells whether the workers have yet to find this leader: those that are not
 // heard are not lost. The caller holds mu.
 func (g *term) reconnecting(now clock.Micros) bool {
-	return g.progress.Reconnecting(now, g.reportWithin())
+	return g.progress.Reconnecting(now, g.reportWithin(), g.isAlone)
+}
+
+// lookAround finds out whether other controllers answer, while that tells whether machines may
+// have yet to report.
+func (g *term) lookAround(ctx context.Context) {
+	g.mu.Lock()
+	matters := g.progress.Stage() == recovery.StageReconciling && g.ck.Now()-g.progress.Began() < g.reportWithin()
+	g.mu.Unlock()
+	if !matters {
+		return
+	}
+	alone := g.alone(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isAlone = alone
 }
 
 // reportWithin is how long a worker may take to find this leader where no other controller
--- a/recovery/progress.go
+++ b/recovery/progress.go
@@ -125,10 +125,12 @@
 // LatestEnd gives by when nothing recorded is awaited any more.
 func (p *Progress) LatestEnd() clock.Micros { return p.most }
 
-// Reconnecting tells whether fewer than half of the recorded machines are settled while there
-// was not time for all of them to report: then those that are missing are not lost, they have yet to come.
-func (p *Progress) Reconnecting(now, reportWithin clock.Micros) bool {
-	return 2*p.counts[MachineAwaited] > len(p.machines) && now-p.began < reportWithin
+// Reconnecting tells whether machines that are missing are not lost, but have yet to come: there
+// was not time for all of them to report, and fewer than half are settled, or their workers may
+// have other controllers to try first, because none of those answers.
+func (p *Progress) Reconnecting(now, reportWithin clock.Micros, alone bool) bool {
+	awaited := p.counts[MachineAwaited]
+	return now-p.began < reportWithin && (2*awaited > len(p.machines) || alone && awaited > 0)
 }
 
 // How long a worker tries one controller that does not answer, and waits before the next.
--- a/recovery/progress_test.go
+++ b/recovery/progress_test.go
@@ -54,26 +54,34 @@
 }
 
 func TestReconnecting(t *testing.T) {
-	p := NewProgress(0)
-	for i := range 10 {
-		p.Await(fmt.Sprint("n-", i), 18*clock.Second)
-	}
-	p.Loaded(clock.Second)
 	within := ReportWithin(3, 3*clock.Second)
 	if within != 10*clock.Second+3750*clock.Millisecond {
 		t.Errorf("a worker may take %v to find the third controller", within)
 	}
-	if !p.Reconnecting(9*clock.Second, within) {
-		t.Error("nobody has had the time to report, and they count as lost")
-	}
-	if p.Reconnecting(within, within) {
-		t.Error("all have had the time to report, and are still waited for")
-	}
-	for i := range 5 {
-		p.Settle(fmt.Sprint("n-", i), MachineReconciled, 2*clock.Second)
-	}
-	if p.Reconnecting(3*clock.Second, within) {
-		t.Error("half of them have found this leader: the others are lost")
+	for _, tt := range []struct {
+		name  string
+		came  int // of ten
+		at    clock.Micros
+		alone bool
+		want  bool
+	}{
+		{"nobody has had the time", 0, 9 * clock.Second, false, true},
+		{"all have had the time", 0, within, true, false},
+		{"half came while other controllers lead workers here", 5, 3 * clock.Second, false, false},
+		{"half came, the others may try controllers that are down", 5, 9 * clock.Second, true, true},
+		{"all came", 10, 3 * clock.Second, true, false},
+	} {
+		p := NewProgress(0)
+		for i := range 10 {
+			p.Await(fmt.Sprint("n-", i), 18*clock.Second)
+		}
+		p.Loaded(clock.Second)
+		for i := range tt.came {
+			p.Settle(fmt.Sprint("n-", i), MachineReconciled, 2*clock.Second)
+		}
+		if got := p.Reconnecting(tt.at, within, tt.alone); got != tt.want {
+			t.Errorf("%s: %t", tt.name, got)
+		}
 	}
 }
 
