--- a/recovery_scenes_test.go
+++ b/recovery_scenes_test.go
@@ -363,6 +363,7 @@
 			if f.AllGoingS == 0 || f.AllGoingS > allGoingWithin {
 				t.Errorf("all goes on %.2f s after the return, want within %v s", f.AllGoingS, allGoingWithin)
 			}
+			t.Log(f)
 		})
 	}
 }
