--- a/tools/lossplot/main.go
+++ b/tools/lossplot/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -78,6 +80,7 @@
 	if len(scenes) == 0 && lines.Err() == nil {
 		return nil, errors.New("no figures")
 	}
+	slices.SortStableFunc(scenes, func(a, b figures) int { return cmp.Compare(a.Scene, b.Scene) })
 	return scenes, lines.Err()
 }
 
@@ -159,6 +162,7 @@
 	p.NominalX(names...)
 	p.X.Tick.Label.Rotation = 0.3
 	p.X.Tick.Label.XAlign = -1
+	p.X.Padding = vg.Centimeter
 	return p, nil
 }
 
