Look-ups of jobs on nobody's books are paced, and left out once no worker shows their tasks

A copy of an old report that reaches a new leader first can name hundreds of jobs that are over; each took two urgent reads, one after another. They take a quarter of the state service's requests at most now. TestLookUpsArePaced.

--- a/recover.go
+++ b/recover.go
@@ -485,13 +485,26 @@
 		case <-g.lookUpKick:
 		}
 		for _, uid := range g.wantedJobs() {
-			for g.lookUp(ctx, uid) != nil && ctx.Err() == nil {
+			for g.shown(uid) && g.lookUp(ctx, uid) != nil && ctx.Err() == nil {
 				g.sleep(ctx, 300*clock.Millisecond)
 			}
+			g.sleep(ctx, g.lookUpPause())
 		}
 	}
 }
 
+// lookUpPause is how far apart jobs are looked up, at two reads each: an old copy of a report can
+// name hundreds that were over long ago, and the reads take a quarter of the state service's
+// requests at most.
+func (g *term) lookUpPause() clock.Micros { return clock.FromSeconds(8 / g.cfg.Facts.State.RPS) }
+
+// shown tells whether a worker still shows tasks of a job that are not on the books.
+func (g *term) shown(uid string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.fl.ShowingUnbooked(uid)) > 0
+}
+
 // wantedJobs takes the jobs that are to be read.
 func (g *term) wantedJobs() (uids []string) {
 	g.mu.Lock()
--- a/recover_test.go
+++ b/recover_test.go
@@ -1,6 +1,8 @@
 package cedardoor
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"runtime"
 	"slices"
@@ -141,6 +143,35 @@
 	}
 }
 
+// A copy of an old report may name hundreds of jobs that are over: they are read at a pace, and not at all
+// once a newer report shows none of their tasks.
+func TestLookUpsArePaced(t *testing.T) {
+	s, _, g, w := alone(t)
+	rep := w.Report()
+	for i := range 200 {
+		rep.Pieces = append(rep.Pieces, wire.PieceReport{Piece: fmt.Sprintf("j-%d/0", 100+i), Try: 1, Status: wire.PieceRunning})
+	}
+	if _, ok := g.Heartbeat(&rep); !ok {
+		t.Fatal("not answered")
+	}
+	g.cfg.Facts.State.RPS = 8 // one a second
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	before := s.state.Requests()
+	go func() { defer close(done); g.lookUpLoop(ctx) }()
+	for s.state.Requests()-before < 2 {
+		runtime.Gosched()
+	}
+	heartbeat(t, g, w) // a newer report
+	s.advance(20 * time.Second)
+	cancel()
+	<-done
+	renewals := 20
+	if reads := s.state.Requests() - before; reads > 4+2*renewals {
+		t.Errorf("%d requests for a report that was no longer true", reads)
+	}
+}
+
 // What is read of a job counts only under the leader's lease.
 func TestNothingIsDecidedWithoutTheLease(t *testing.T) {
 	s, n, g, w := alone(t)
