--- a/recover.go
+++ b/recover.go
@@ -484,11 +484,19 @@
 			return
 		case <-g.lookUpKick:
 		}
-		for _, uid := range g.wantedJobs() {
-			for g.shown(uid) && g.lookUp(ctx, uid) != nil && ctx.Err() == nil {
-				g.sleep(ctx, 300*clock.Millisecond)
-			}
+		g.lookUpWanted(ctx)
+	}
+}
+
+// lookUpWanted reads the jobs that are wanted by now, one after another.
+func (g *term) lookUpWanted(ctx context.Context) {
+	for _, uid := range g.wantedJobs() {
+		for g.shown(uid) && ctx.Err() == nil {
+			err := g.lookUp(ctx, uid)
 			g.sleep(ctx, g.lookUpPause())
+			if err == nil {
+				break
+			}
 		}
 	}
 }
--- a/recover_test.go
+++ b/recover_test.go
@@ -143,31 +143,53 @@
 	}
 }
 
-// A copy of an old report may name hundreds of jobs that are over: they are read at a pace, and not at all
-// once a newer report shows none of their tasks.
-func TestLookUpsArePaced(t *testing.T) {
-	s, _, g, w := alone(t)
+// oldCopy is a report that names so many tasks of jobs that are on nobody's books.
+func oldCopy(t *testing.T, g *term, w *standin.Worker, jobs int) {
+	t.Helper()
 	rep := w.Report()
-	for i := range 200 {
+	for i := range jobs {
 		rep.Pieces = append(rep.Pieces, wire.PieceReport{Piece: fmt.Sprintf("j-%d/0", 100+i), Try: 1, Status: wire.PieceRunning})
 	}
 	if _, ok := g.Heartbeat(&rep); !ok {
 		t.Fatal("not answered")
 	}
-	g.cfg.Facts.State.RPS = 8 // one a second
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	before := s.state.Requests()
-	go func() { defer close(done); g.lookUpLoop(ctx) }()
-	for s.state.Requests()-before < 2 {
-		runtime.Gosched()
+}
+
+// A copy of an old report may name hundreds of jobs that are over: they are read at a pace.
+func TestLookUpsArePaced(t *testing.T) {
+	s, _, g, w := alone(t)
+	oldCopy(t, g, w, 200)
+	g.cfg.Facts.State.RPS = 8 // a look-up a second
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	go g.lookUpLoop(ctx)
+	const seconds = 5
+	for range seconds {
+		if err := s.clk.BlockUntilContext(ctx, 2); err != nil { // the leader's lease and the look-ups
+			t.Fatal("the look-ups do not wait")
+		}
+		s.clk.Advance(time.Second)
+	}
+	if err := s.clk.BlockUntilContext(ctx, 2); err != nil {
+		t.Fatal("the look-ups do not wait")
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := len(g.lookups); n == 0 || n > seconds+1 {
+		t.Errorf("%d look-ups in %d s", n, seconds)
+	}
+}
+
+// Jobs of which no worker shows a task any more are not read.
+func TestNoLookUpOfWhatIsNotShown(t *testing.T) {
+	s, _, g, w := alone(t)
+	oldCopy(t, g, w, 200)
 	heartbeat(t, g, w) // a newer report
-	s.advance(20 * time.Second)
-	cancel()
-	<-done
-	renewals := 20
-	if reads := s.state.Requests() - before; reads > 4+2*renewals {
+	before := s.state.Requests()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	g.lookUpWanted(ctx)
+	if reads := s.state.Requests() - before; reads != 0 {
 		t.Errorf("%d requests for a report that was no longer true", reads)
 	}
 }
