Plan: the last of several replicas that share a machine stays

Symptom: a replica of a live service was restarted for nothing.

Cause: while a moved task may still run at its source it counts there, as the zone cap and the team's limit need. relocate put it back into the job's occupancy, and mayStay asked the same count whether the last replica is alone, so it never was.

Change: the planner counts the departures of a plan by job and machine.

Evidence: TestLastReplicaOfSharedMachineStays failed before (2, 3 and 5 moves of 2, 3 and 5 replicas), and so did TestReplicaBesideMovedOneStays (a replica beside one that a drain moves was moved, too). TestDeferredSpreadingIsFinishedLater, which passes before and after, shows that a replica that stays for the sake of a deferred move is not forgotten. TestMoveKeepsZoneCapUntilStopped and TestSpreadingIsGradual are unchanged.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -51,9 +51,10 @@
 	rules            []Rule
 	result           Result
 	rng              *rand.Rand
-	occupancyChanges []occupancyChange // changes to jobs' occupancy, reverted by restore
-	changedMachines  []*Machine        // machines to be restored
-	reserved         map[*Job]bool     // jobs that this plan reserves capacity for
+	occupancyChanges []occupancyChange    // changes to jobs' occupancy, reverted by restore
+	changedMachines  []*Machine           // machines to be restored
+	reserved         map[*Job]bool        // jobs that this plan reserves capacity for
+	departures       map[jobOnMachine]int // tasks that this plan moves to other machines
 }
 
 // Make makes a plan. It launches the tasks within their teams' guarantees first,
@@ -61,7 +62,7 @@
 // then launches the other tasks.
 func Make(snapshot *Snapshot) Result {
 	snapshot.ensureIndex()
-	p := &planner{Snapshot: snapshot, rules: Rules(), rng: rand.New(rand.NewPCG(snapshot.Seed, 1))}
+	p := &planner{Snapshot: snapshot, rules: Rules(), rng: rand.New(rand.NewPCG(snapshot.Seed, 1)), departures: map[jobOnMachine]int{}}
 	p.draft = p.Quota.Draft()
 	p.quotaBinding = p.draft.HasQuotas()
 	p.result.Unplaced = map[string]int{}
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -8,6 +8,12 @@
 // spreadMoveDivisor limits moves of ReasonSpread to MaxMoves/spreadMoveDivisor per plan, but at least one.
 const spreadMoveDivisor = 5
 
+// jobOnMachine identifies the tasks of a job on a machine.
+type jobOnMachine struct {
+	job     *Job
+	machine *Machine
+}
+
 // feasibleMove is a candidate with a target.
 type feasibleMove struct {
 	candidate Candidate
@@ -62,6 +68,7 @@
 	if target != nil {
 		p.save(source)
 		source.departures++
+		p.departures[jobOnMachine{job, source}]++
 	}
 	return target
 }
@@ -93,11 +100,18 @@
 // moves of the candidates before it have resolved the violation.
 func (p *planner) mayStay(candidate Candidate, source *Machine) bool {
 	if candidate.Reason == ReasonSpread {
-		return source.QuarantineReason == "" && candidate.Job.Machines[source.Name] == 0
+		return source.QuarantineReason == "" && p.remaining(candidate.Job, source) == 0
 	}
 	return source.QuarantineReason == "" && p.allowed(candidate.Job, source)
 }
 
+// remaining returns how many tasks of a job will remain on a machine once the plan's moves are
+// made. Unlike the job's occupancy, which the rules go by, it leaves out tasks that may still
+// exist there but are to leave.
+func (p *planner) remaining(job *Job, machine *Machine) int {
+	return job.Machines[machine.Name] - p.departures[jobOnMachine{job, machine}]
+}
+
 // selectMoves selects as many moves as a plan may make, those to machines that no task leaves first.
 func (p *planner) selectMoves(moves []feasibleMove) {
 	sort.SliceStable(moves, func(i, k int) bool { return moves[i].target.departures == 0 && moves[k].target.departures > 0 })
