Repair: a replica beside one that is being stopped stays

Cause: repairReason went by job.Plan.Machines[machine] > 1, the tasks that may exist on the machine. That count holds replicas that are being stopped until their absence is proved. On a silent or disobedient machine that takes rounds, and each round listed the replica that could have stayed.

Listing and planning both ask it whether replicas still share a machine. A replica that saves a checkpoint for an earlier leader ("flushing") counts as departing, too, and is no candidate itself, so a leader that begins midway doesn't move the other one. The counts that rules go by are untouched.

--- a/fleet/allocation.go
+++ b/fleet/allocation.go
@@ -113,6 +113,12 @@
 // Reservation returns the attempt's reservation against its team's limit.
 func (a *Allocation) Reservation() *quota.Reservation { return a.reservation }
 
+// Departing reports whether the attempt may still be on its machine but is being stopped, by this
+// leader or by an earlier one.
+func (a *Allocation) Departing() bool {
+	return a.Live() && (a.Stopping || a.Status == wire.TaskFlushing)
+}
+
 // key returns the attempt's key in the tables of its machine.
 func (a *Allocation) key() attemptKey { return attemptKey{a.Task, a.Attempt} }
 
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -179,6 +179,9 @@
 	if allocation.Status == "" && allocation.firstSentAt > 0 {
 		r.fleet.Acknowledged(r.machine)
 	}
+	if task.Status == wire.TaskFlushing && allocation.Status != task.Status {
+		r.fleet.MachineChanged(r.machine)
+	}
 	allocation.Status = task.Status
 	if task.Status != wire.TaskEnded {
 		allocation.reservation.MarkRunning()
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -107,9 +107,9 @@
 
 // remaining returns how many tasks of a job will remain on a machine once the plan's moves are
 // made. Unlike the job's occupancy, which the rules go by, it leaves out tasks that may still
-// exist there but are to leave.
+// exist there but are being stopped or are to be moved.
 func (p *planner) remaining(job *Job, machine *Machine) int {
-	return job.Machines[machine.Name] - p.departures[jobOnMachine{job, machine}]
+	return machine.Remaining(job) - p.departures[jobOnMachine{job, machine}]
 }
 
 // selectMoves selects as many moves as a plan may make, those to machines that no task leaves first.
--- a/plan/snapshot.go
+++ b/plan/snapshot.go
@@ -26,10 +26,11 @@
 	QuarantineReason string    // why its tasks are to be moved away; empty if not quarantined
 	Cordoned         bool      // gets no new tasks; its tasks may stay
 	Images           map[string]ImageState
-	Victims          []Victim // tasks that may be preempted, cheapest first
-	ReservedFor      string   // job that its capacity is reserved for, if any
-	FetchGBs         float64  // image fetch rate in GB per second
-	HasFailures      bool     // tasks have failed on it since one last succeeded there
+	Victims          []Victim     // tasks that may be preempted, cheapest first
+	Departing        map[*Job]int // tasks that are being stopped, by job; they still count in the job's occupancy
+	ReservedFor      string       // job that its capacity is reserved for, if any
+	FetchGBs         float64      // image fetch rate in GB per second
+	HasFailures      bool         // tasks have failed on it since one last succeeded there
 
 	departures int // tasks that the plan moves to other machines
 	index      indexEntry
@@ -42,6 +43,11 @@
 // holds reports whether the machine has the complete image.
 func (m *Machine) holds(image string) bool { return m.Images[image] == ImageHeld }
 
+// Remaining returns how many tasks of a job are to remain on the machine: those that may exist
+// there, except for those that are being stopped. A violation that only the latter cause is
+// already being repaired.
+func (m *Machine) Remaining(job *Job) int { return job.Machines[m.Name] - m.Departing[job] }
+
 // Victim is a task that could be preempted.
 type Victim struct {
 	Resources
--- a/planinput/machines.go
+++ b/planinput/machines.go
@@ -59,13 +59,17 @@
 	}
 }
 
-// refreshTasks updates the victims on a machine and the capacity that stops in progress will free. It
-// reports whether there are such stops.
+// refreshTasks updates the victims on a machine, the tasks that are being stopped and the capacity that
+// recent stops will free. It reports whether there are recent stops.
 func (in *Input) refreshTasks(planned *plan.Machine, machine *fleet.Machine, now clock.Micros) (stopping bool) {
 	planned.Stopping = plan.Resources{}
 	planned.Victims = planned.Victims[:0]
+	clear(planned.Departing)
 	guarantees := in.Quota.HasGuarantees()
 	machine.EachAllocation(func(allocation *fleet.Allocation) {
+		if allocation.Departing() {
+			addDeparting(planned, allocation)
+		}
 		switch {
 		case !allocation.Live():
 		case allocation.Stopping:
@@ -85,6 +89,18 @@
 	return stopping
 }
 
+// addDeparting counts a task that is being stopped.
+func addDeparting(planned *plan.Machine, allocation *fleet.Allocation) {
+	job := jobs.Of(allocation)
+	if job == nil {
+		return
+	}
+	if planned.Departing == nil {
+		planned.Departing = map[*plan.Job]int{}
+	}
+	planned.Departing[job.Plan]++
+}
+
 // mayPreempt reports whether a task may be offered to the planner as a victim. Replicas are preempted
 // only for teams' guarantees. A job that was starved keeps its tasks while no more than StarvedTasks of
 // them are placed.
--- a/planinput/snapshot.go
+++ b/planinput/snapshot.go
@@ -142,12 +142,14 @@
 		machines = slices.Concat(machines[first:], machines[:first])
 	}
 	for _, machine := range machines {
+		planned := s.Machine(machine.Name)
 		machine.EachAllocation(func(allocation *fleet.Allocation) {
 			job := jobs.Of(allocation)
 			if job == nil || !mayMove(job, allocation) {
 				return
 			}
-			reason := repairReason(job, allocation, s.Now, spreadBudget > 0)
+			sharesMachine := planned != nil && planned.Remaining(job.Plan) > 1
+			reason := repairReason(job, allocation, s.Now, sharesMachine && spreadBudget > 0)
 			if reason == "" {
 				return
 			}
@@ -161,7 +163,7 @@
 
 // mayMove reports whether a task may be moved: it is neither stopping nor moving, nor part of a gang.
 func mayMove(job *jobs.Job, allocation *fleet.Allocation) bool {
-	if !allocation.Live() || allocation.Stopping || job.Cancelled || job.IsGang() {
+	if !allocation.Live() || allocation.Departing() || job.Cancelled || job.IsGang() {
 		return false
 	}
 	task := &job.Tasks[allocation.Task.Index]
@@ -170,7 +172,7 @@
 
 // repairReason returns why a task is to be moved, or the empty string if it is not. Batch tasks without
 // checkpoints may finish on a quarantined machine unless tasks fail on it: stopping them would lose the
-// progress that repair is meant to protect.
+// progress that repair is meant to protect. Replicas that share a machine are moved if maySpread is set.
 func repairReason(job *jobs.Job, allocation *fleet.Allocation, now clock.Micros, maySpread bool) string {
 	machine := allocation.Machine
 	switch {
@@ -178,7 +180,7 @@
 		return plan.ReasonQuarantine
 	case machine.Cordoned && job.IsService() && now-allocation.ReservedAt > minReplicaAge:
 		return plan.ReasonDrain
-	case job.IsService() && job.Plan.Machines[machine.Name] > 1 && maySpread:
+	case job.IsService() && maySpread:
 		return plan.ReasonSpread
 	}
 	return ""
