Repair at a team's limit: plan and ledger agree, quarantined machines are emptied

Its work did not get off a quarantined machine, and launches went without the capacity that the refused moves held in the plan.

Cause: relocate took the task's own amount out of the draft before it looked for a target, while the ledger counts both sides of a move until the stop is confirmed. At the limit the plan found a move that the ledger refused, each round.

Change: the draft counts both sides. A task on a quarantined machine that only the limit keeps from moving is evicted: stopped without a reservation elsewhere, within the cap on moves, and placed again like a task that was lost. Moves off healthy machines (drain, spread) wait. A deferred move gives its target and its part of the limit back to the plan's launches.

--- a/plan/changes.go
+++ b/plan/changes.go
@@ -22,19 +22,30 @@
 
 // allocate allocates the resources of one task of a job on a machine.
 func (p *planner) allocate(job *Job, machine *Machine) {
+	p.occupy(job, machine)
+	p.draft.Add(job.Team, job.amount())
+}
+
+// release reverts allocate.
+func (p *planner) release(job *Job, machine *Machine) {
+	p.vacate(job, machine)
+	p.draft.Remove(job.Team, job.amount())
+}
+
+// occupy takes the capacity for one task of a job on a machine, without counting it against the
+// team's limit.
+func (p *planner) occupy(job *Job, machine *Machine) {
 	p.save(machine)
 	machine.Free.subtract(job.Resources)
 	p.index.put(machine)
-	p.draft.Add(job.Team, job.amount())
 	p.adjustOccupancy(job, machine.Zone, machine.Name, 1)
 }
 
-// release reverts allocate.
-func (p *planner) release(job *Job, machine *Machine) {
+// vacate reverts occupy.
+func (p *planner) vacate(job *Job, machine *Machine) {
 	machine.Free.add(job.Resources)
 	p.index.put(machine)
 	p.adjustOccupancy(job, machine.Zone, machine.Name, -1)
-	p.draft.Remove(job.Team, job.amount())
 }
 
 // adjustOccupancy adds to a job's tasks that may exist in a zone and on a machine.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -27,10 +27,19 @@
 	Reason   string
 }
 
+// Eviction stops a task on a quarantined machine without a reservation elsewhere, because the team's
+// limit does not allow the task on two machines at once. Once it has stopped, it waits like a task
+// that was lost.
+type Eviction struct {
+	Task         TaskID
+	From, Reason string
+}
+
 // Result is a plan and its statistics.
 type Result struct {
 	Launches    []Placement
 	Moves       []Move
+	Evictions   []Eviction
 	Preemptions []TaskID
 	// Deferred counts moves that a cap on the moves of a plan put off.
 	Deferred int
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -18,6 +18,7 @@
 type feasibleMove struct {
 	candidate Candidate
 	target    *Machine
+	evict     bool // the team's limit allows the task only on one of the machines
 }
 
 // repair finds targets for the candidates and selects the moves to make.
@@ -30,8 +31,8 @@
 		if source == nil {
 			continue
 		}
-		if target := p.relocate(candidate, source); target != nil {
-			moves = append(moves, feasibleMove{candidate, target})
+		if move, found := p.relocate(candidate, source); found {
+			moves = append(moves, move)
 		} else if candidate.Reason != ReasonDrain {
 			p.result.Violations++
 		}
@@ -51,26 +52,40 @@
 }
 
 // relocate finds a target for a candidate and allocates the task's resources there. It returns
-// nil if there is none or the task should stay where it is.
-func (p *planner) relocate(candidate Candidate, source *Machine) *Machine {
+// found=false if there is none or the task should stay where it is.
+//
+// Until the stop is confirmed the task may still run at its source, so it counts against the team's
+// limit in both places, as it does in the ledger. If only that leaves no target for a task on a
+// quarantined machine, the task is evicted.
+func (p *planner) relocate(candidate Candidate, source *Machine) (move feasibleMove, found bool) {
 	job := candidate.Job
+	move.candidate = candidate
 	// The rules would count the task at its source, which it leaves.
 	p.adjustOccupancy(job, source.Zone, source.Name, -1)
-	p.draft.Remove(job.Team, job.amount())
-	target := p.moveTarget(candidate, source)
-	if target != nil {
-		p.allocate(job, target)
+	if move.target = p.moveTarget(candidate, source); move.target != nil {
+		p.allocate(job, move.target)
+	} else if candidate.Reason == ReasonQuarantine && p.limitReached(job) {
+		move.evict = true
+		p.draft.Remove(job.Team, job.amount())
+		if move.target = p.moveTarget(candidate, source); move.target != nil {
+			p.occupy(job, move.target)
+		}
+		p.draft.Add(job.Team, job.amount())
 	}
-	// Until the stop is confirmed the task may still run at its source: it counts
-	// against the zone cap and the team's limit in both places.
+	// The task still counts against the zone cap at its source, too.
 	p.adjustOccupancy(job, source.Zone, source.Name, 1)
-	p.draft.Add(job.Team, job.amount())
-	if target != nil {
-		p.save(source)
-		source.departures++
-		p.departures[jobOnMachine{job, source}]++
+	if move.target == nil {
+		return move, false
 	}
-	return target
+	p.save(source)
+	source.departures++
+	p.departures[jobOnMachine{job, source}]++
+	return move, true
+}
+
+// limitReached reports whether the team's limit allows no more task of a job.
+func (p *planner) limitReached(job *Job) bool {
+	return p.quotaBinding && !p.draft.Fits(job.Team, job.amount())
 }
 
 // moveTarget returns the machine to move a candidate to, or nil if it stays. The caller has
@@ -122,14 +137,29 @@
 			// Replicas that share a machine do run, and a move restarts one of them:
 			// move only a few per plan, so that spreading a new service costs its users little.
 			if spreading++; p.MaxMoves > 0 && spreading > max(1, p.MaxMoves/spreadMoveDivisor) {
-				p.result.Deferred++
+				p.deferMove(move)
 				continue
 			}
 		}
-		if p.MaxMoves > 0 && len(p.result.Moves) >= p.MaxMoves {
-			p.result.Deferred++
+		if p.MaxMoves > 0 && len(p.result.Moves)+len(p.result.Evictions) >= p.MaxMoves {
+			p.deferMove(move)
 			continue
 		}
-		p.result.Moves = append(p.result.Moves, Move{Task: TaskID{candidate.Job.UID, candidate.Index}, From: candidate.Machine, To: move.target.Name, Reason: candidate.Reason})
+		id := TaskID{candidate.Job.UID, candidate.Index}
+		if move.evict {
+			p.result.Evictions = append(p.result.Evictions, Eviction{Task: id, From: candidate.Machine, Reason: candidate.Reason})
+			continue
+		}
+		p.result.Moves = append(p.result.Moves, Move{Task: id, From: candidate.Machine, To: move.target.Name, Reason: candidate.Reason})
+	}
+}
+
+// deferMove leaves a move to a later plan. What it would take is free for the launches of this plan.
+func (p *planner) deferMove(move feasibleMove) {
+	p.result.Deferred++
+	if move.evict {
+		p.vacate(move.candidate.Job, move.target)
+	} else {
+		p.release(move.candidate.Job, move.target)
 	}
 }
--- a/planning.go
+++ b/planning.go
@@ -30,15 +30,24 @@
 	for _, move := range result.Moves {
 		l.move(move, now)
 	}
+	for _, eviction := range result.Evictions {
+		l.evict(eviction, now)
+	}
 	if round {
-		l.metrics.ObserveRepairRound(l.clock.Now()-began, result.Violations, len(result.Moves))
-		if result.Violations > 0 || len(result.Moves) > 0 {
-			l.log.Info("repair round", "moves", len(result.Moves), "deferred", result.Deferred, "violations", result.Violations)
-		}
+		l.repairRoundEnded(&result, l.clock.Now()-began)
 	}
 	l.metrics.SetWaitingTasks(unplaced)
 }
 
+// repairRoundEnded records and logs the results of a repair round.
+func (l *leader) repairRoundEnded(result *plan.Result, took clock.Micros) {
+	moves := len(result.Moves) + len(result.Evictions)
+	l.metrics.ObserveRepairRound(took, result.Violations, moves)
+	if result.Violations > 0 || moves > 0 {
+		l.log.Info("repair round", "moves", moves, "deferred", result.Deferred, "violations", result.Violations)
+	}
+}
+
 // snapshot prepares the snapshot of the cluster for a plan.
 func (l *leader) snapshot(now clock.Micros, round bool) *plan.Snapshot {
 	return l.planner.Snapshot(planinput.SnapshotParams{Now: now, Wall: l.clock.Wall(), Seed: l.writer.NextSequence(), RepairRound: round, Jobs: l.jobs,
@@ -108,6 +117,18 @@
 	l.stopAttempt(job, task.Allocation, now)
 }
 
+// evict stops a task that can't be moved because its team is at its limit. It is placed again once its
+// stop is confirmed.
+func (l *leader) evict(eviction plan.Eviction, now clock.Micros) {
+	job := l.jobs.Get(eviction.Task.Job)
+	allocation := job.Tasks[eviction.Task.Index].Allocation
+	if allocation == nil {
+		return
+	}
+	l.log.Info("evicting task: its team's limit allows no second reservation", "task", allocation.Task.String(), "from", eviction.From, "reason", eviction.Reason)
+	l.stopAttempt(job, allocation, now)
+}
+
 // reserve reserves resources for a task's next attempt on a machine. It returns nil if the ledger
 // refuses the reservation: the ledger, not the plan, is authoritative for limits.
 func (l *leader) reserve(job *jobs.Job, index int, machine *fleet.Machine, now clock.Micros) *fleet.Allocation {
