Plan: a task that may stay is no violation

Symptom: the gauge violations and the log line 'repair round' counted tasks that break no rule once the round's moves are made; operators looked for machines to fix it.

Cause: mayStay was part of the search for a target, so 'stays' and 'found no target' were one outcome.

Change: repair asks mayStay first. mayStay takes the task out of the counts itself.

--- a/plan/repair.go
+++ b/plan/repair.go
@@ -28,7 +28,7 @@
 	var moves []feasibleMove
 	for _, candidate := range candidates {
 		source := p.index.byName[candidate.Machine]
-		if source == nil {
+		if source == nil || p.mayStay(candidate, source) {
 			continue
 		}
 		if move, found := p.relocate(candidate, source); found {
@@ -52,7 +52,7 @@
 }
 
 // relocate finds a target for a candidate and allocates the task's resources there. It returns
-// found=false if there is none or the task should stay where it is.
+// found=false if there is none.
 //
 // Until the stop is confirmed the task may still run at its source, so it counts against the team's
 // limit in both places, as it does in the ledger. If only that leaves no target for a task on a
@@ -88,13 +88,10 @@
 	return p.quotaBinding && !p.draft.Fits(job.Team, job.amount())
 }
 
-// moveTarget returns the machine to move a candidate to, or nil if it stays. The caller has
+// moveTarget returns the machine to move a candidate to, or nil if there is none. The caller has
 // removed the candidate from the counts at its source.
 func (p *planner) moveTarget(candidate Candidate, source *Machine) *Machine {
 	job := candidate.Job
-	if p.mayStay(candidate, source) {
-		return nil
-	}
 	zone := ""
 	if job.SameZone && job.Tasks > 1 {
 		zone = source.Zone
@@ -114,10 +111,20 @@
 // mayStay reports whether a candidate may stay on its machine after all because the
 // moves of the candidates before it have resolved the violation.
 func (p *planner) mayStay(candidate Candidate, source *Machine) bool {
-	if candidate.Reason == ReasonSpread {
-		return source.QuarantineReason == "" && p.remaining(candidate.Job, source) == 0
+	job := candidate.Job
+	switch {
+	case source.QuarantineReason != "":
+		return false
+	case candidate.Reason == ReasonSpread:
+		return p.remaining(job, source) <= 1
 	}
-	return source.QuarantineReason == "" && p.allowed(candidate.Job, source)
+	// The rules ask for one more task, and this one is already there.
+	p.adjustOccupancy(job, source.Zone, source.Name, -1)
+	p.draft.Remove(job.Team, job.amount())
+	allowed := p.allowed(job, source)
+	p.draft.Add(job.Team, job.amount())
+	p.adjustOccupancy(job, source.Zone, source.Name, 1)
+	return allowed
 }
 
 // remaining returns how many tasks of a job will remain on a machine once the plan's moves are
--- a/plan/spreading_test.go
+++ b/plan/spreading_test.go
@@ -66,3 +66,20 @@
 		t.Errorf("moves %v, want only the one that drains the machine", result.Moves)
 	}
 }
+
+// Guards against a violation that operators can't find: a task that may stay because moves of the
+// plan resolve its violation does not count as one.
+func TestViolationsLeaveOutTasksThatStay(t *testing.T) {
+	s, _ := newSharedMachine(3)
+	if result := Make(s); result.Violations != 0 {
+		t.Errorf("%d violations with %d moves of three replicas that share a machine, want none", result.Violations, len(result.Moves))
+	}
+	s, _ = newSharedMachine(2)
+	for _, machine := range s.index.all[kindOnDemand] {
+		machine.Usable = false
+		s.Put(machine)
+	}
+	if result := Make(s); result.Violations != 2 {
+		t.Errorf("%d violations of two replicas without a target, want 2", result.Violations)
+	}
+}
