Plan: a replica that a plan preempts is not moved by it, nor the reverse

Symptom: with guarantees in the settings, a replica of a service beyond its team's guarantee that shares a machine could be preempted and moved by the same plan: its new reservation took the capacity for which it was preempted elsewhere, and the replica beside it was moved, too.

Cause: repair did not know the plan's preemptions, nor preempt the moves; a preempted replica counted as one that stays.

Change: Victim.stopped (before: preempted) is set by moves and evictions, too; repair passes over what is stopped already; preempted tasks count as departures.

Evidence: TestPreemptedReplicaIsNotMoved failed before (j-1/0 preempted and moved) and passes.

--- a/plan/changes.go
+++ b/plan/changes.go
@@ -76,7 +76,7 @@
 		machine.ReservedFor, machine.departures = before.reservedFor, before.departures
 		machine.before = nil
 		for i := range machine.Victims {
-			machine.Victims[i].preempted = false
+			machine.Victims[i].stopped = false
 		}
 		p.index.put(machine)
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -63,7 +63,7 @@
 	occupancyChanges []occupancyChange    // changes to jobs' occupancy, reverted by restore
 	changedMachines  []*Machine           // machines to be restored
 	reserved         map[*Job]bool        // jobs that this plan reserves capacity for
-	departures       map[jobOnMachine]int // tasks that this plan moves to other machines
+	departures       map[jobOnMachine]int // tasks that this plan preempts or moves to other machines
 }
 
 // Make makes a plan. It launches the tasks within their teams' guarantees first,
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -102,7 +102,7 @@
 			break
 		}
 		victim := &machine.Victims[i]
-		if victim.preempted || warm && !job.Service && p.lostProgress(victim) > maxWarmLoss || !p.mayPreempt(job, victim, preempted[victim.team()]) {
+		if victim.stopped || warm && !job.Service && p.lostProgress(victim) > maxWarmLoss || !p.mayPreempt(job, victim, preempted[victim.team()]) {
 			continue
 		}
 		capacity.add(victim.Resources)
@@ -134,10 +134,11 @@
 	free, stopping, preemptions := machine.Free, machine.Stopping, len(p.result.Preemptions)
 	for _, i := range chosen.victims {
 		victim := &machine.Victims[i]
-		victim.preempted = true
+		victim.stopped = true
 		machine.Stopping.add(victim.Resources)
 		p.result.Preemptions = append(p.result.Preemptions, victim.Task)
 		if victim.Job != nil {
+			p.departures[jobOnMachine{victim.Job, machine}]++
 			p.draft.Stop(victim.Job.Team, victim.amount())
 		}
 	}
@@ -149,8 +150,9 @@
 		machine.Free, machine.Stopping = free, stopping
 		for _, i := range chosen.victims {
 			victim := &machine.Victims[i]
-			victim.preempted = false
+			victim.stopped = false
 			if victim.Job != nil {
+				p.departures[jobOnMachine{victim.Job, machine}]--
 				p.draft.Resume(victim.Job.Team, victim.amount())
 			}
 		}
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -28,7 +28,7 @@
 	var moves []feasibleMove
 	for _, candidate := range candidates {
 		source := p.index.byName[candidate.Machine]
-		if source == nil || p.mayStay(candidate, source) {
+		if source == nil || source.stops(candidate.task()) || p.mayStay(candidate, source) {
 			continue
 		}
 		if move, found := p.relocate(candidate, source); found {
@@ -152,7 +152,10 @@
 			p.deferMove(move)
 			continue
 		}
-		id := TaskID{candidate.Job.UID, candidate.Index}
+		id := candidate.task()
+		if victim := p.index.byName[candidate.Machine].victim(id); victim != nil {
+			victim.stopped = true
+		}
 		if move.evict {
 			p.result.Evictions = append(p.result.Evictions, Eviction{Task: id, From: candidate.Machine, Reason: candidate.Reason})
 			continue
--- a/plan/snapshot.go
+++ b/plan/snapshot.go
@@ -57,7 +57,23 @@
 	Job          *Job         // identifies the team for checks of its guarantee; may be nil
 	Replica      bool         // is a replica of a service
 
-	preempted bool // by the current plan
+	stopped bool // preempted or moved by the current plan
+}
+
+// victim returns the task among the machine's victims, or nil.
+func (m *Machine) victim(id TaskID) *Victim {
+	for i := range m.Victims {
+		if m.Victims[i].Task == id {
+			return &m.Victims[i]
+		}
+	}
+	return nil
+}
+
+// stops reports whether the current plan already stops the task on the machine.
+func (m *Machine) stops(id TaskID) bool {
+	victim := m.victim(id)
+	return victim != nil && victim.stopped
 }
 
 // amount returns what the task counts against its team's quota.
@@ -102,6 +118,9 @@
 	Reason  string
 }
 
+// task returns the candidate's identity.
+func (c *Candidate) task() TaskID { return TaskID{c.Job.UID, c.Index} }
+
 // Snapshot is the input of a plan. It is reused from plan to plan: after a machine
 // has changed, Put updates the index. Make restores the snapshot before it returns.
 type Snapshot struct {
--- a/plan/spreading_test.go
+++ b/plan/spreading_test.go
@@ -83,3 +83,26 @@
 		t.Errorf("%d violations of two replicas without a target, want 2", result.Violations)
 	}
 }
+
+// Guards against a replica that is both preempted and moved by one plan, and against a move of the one
+// that the preemption has left alone.
+func TestPreemptedReplicaIsNotMoved(t *testing.T) {
+	shared, other := newMachine("a", "x", 0, 0), newMachine("b", "y", 8, 32)
+	service := newGuestJob("j-1", 2, 2, 2)
+	service.Service = true
+	service.Count("x", "a", 2)
+	for i := range 2 {
+		shared.Victims = append(shared.Victims, Victim{Task: TaskID{"j-1", i}, Resources: service.Resources, Job: service, Replica: true})
+	}
+	owed := newJob("j-2", 1, 2, 2)
+	owed.Zone = "x"
+	s := newSnapshot([]*Machine{shared, other}, owed)
+	s.Quota, s.Preempt, s.MaxMoves = guaranteeLedger(2, 0, 0, 4), true, 10
+	for i := range 2 {
+		s.Candidates = append(s.Candidates, Candidate{Job: service, Index: i, Machine: "a", Reason: ReasonSpread})
+	}
+	result := Make(s)
+	if len(result.Preemptions) != 1 || len(result.Moves) != 0 {
+		t.Errorf("preempted %v, moved %v; want one replica preempted and the other left alone", result.Preemptions, result.Moves)
+	}
+}
--- a/planning.go
+++ b/planning.go
@@ -122,9 +122,6 @@
 func (l *leader) evict(eviction plan.Eviction, now clock.Micros) {
 	job := l.jobs.Get(eviction.Task.Job)
 	allocation := job.Tasks[eviction.Task.Index].Allocation
-	if allocation == nil {
-		return
-	}
 	l.log.Info("evicting task: its team's limit allows no second reservation", "task", allocation.Task.String(), "from", eviction.From, "reason", eviction.Reason)
 	l.stopAttempt(job, allocation, now)
 }
