Repair candidates: count departures only where replicas share a machine

Change: the departing tasks are asked for only where more than one replica of a service may exist on the machine; the map is made by the first departure.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -71,7 +71,7 @@
 // then launches the other tasks.
 func Make(snapshot *Snapshot) Result {
 	snapshot.ensureIndex()
-	p := &planner{Snapshot: snapshot, rules: Rules(), rng: rand.New(rand.NewPCG(snapshot.Seed, 1)), departures: map[jobOnMachine]int{}}
+	p := &planner{Snapshot: snapshot, rules: Rules(), rng: rand.New(rand.NewPCG(snapshot.Seed, 1))}
 	p.draft = p.Quota.Draft()
 	p.quotaBinding = p.draft.HasQuotas()
 	p.result.Unplaced = map[string]int{}
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -138,7 +138,7 @@
 		machine.Stopping.add(victim.Resources)
 		p.result.Preemptions = append(p.result.Preemptions, victim.Task)
 		if victim.Job != nil {
-			p.departures[jobOnMachine{victim.Job, machine}]++
+			p.countDeparture(victim.Job, machine, 1)
 			p.draft.Stop(victim.Job.Team, victim.amount())
 		}
 	}
@@ -152,7 +152,7 @@
 			victim := &machine.Victims[i]
 			victim.stopped = false
 			if victim.Job != nil {
-				p.departures[jobOnMachine{victim.Job, machine}]--
+				p.countDeparture(victim.Job, machine, -1)
 				p.draft.Resume(victim.Job.Team, victim.amount())
 			}
 		}
--- a/plan/repair.go
+++ b/plan/repair.go
@@ -79,7 +79,7 @@
 	}
 	p.save(source)
 	source.departures++
-	p.departures[jobOnMachine{job, source}]++
+	p.countDeparture(job, source, 1)
 	return move, true
 }
 
@@ -134,6 +134,14 @@
 	return machine.Remaining(job) - p.departures[jobOnMachine{job, machine}]
 }
 
+// countDeparture adds to the tasks of a job that the plan takes off a machine.
+func (p *planner) countDeparture(job *Job, machine *Machine, tasks int) {
+	if p.departures == nil {
+		p.departures = map[jobOnMachine]int{}
+	}
+	p.departures[jobOnMachine{job, machine}] += tasks
+}
+
 // selectMoves selects as many moves as a plan may make, those to machines that no task leaves first.
 func (p *planner) selectMoves(moves []feasibleMove) {
 	sort.SliceStable(moves, func(i, k int) bool { return moves[i].target.departures == 0 && moves[k].target.departures > 0 })
--- a/planinput/snapshot.go
+++ b/planinput/snapshot.go
@@ -142,14 +142,12 @@
 		machines = slices.Concat(machines[first:], machines[:first])
 	}
 	for _, machine := range machines {
-		planned := s.Machine(machine.Name)
 		machine.EachAllocation(func(allocation *fleet.Allocation) {
 			job := jobs.Of(allocation)
 			if job == nil || !mayMove(job, allocation) {
 				return
 			}
-			sharesMachine := planned != nil && planned.Remaining(job.Plan) > 1
-			reason := repairReason(job, allocation, s.Now, sharesMachine && spreadBudget > 0)
+			reason := in.repairReason(job, allocation, spreadBudget > 0)
 			if reason == "" {
 				return
 			}
@@ -172,16 +170,25 @@
 
 // repairReason returns why a task is to be moved, or the empty string if it is not. Batch tasks without
 // checkpoints may finish on a quarantined machine unless tasks fail on it: stopping them would lose the
-// progress that repair is meant to protect. Replicas that share a machine are moved if maySpread is set.
-func repairReason(job *jobs.Job, allocation *fleet.Allocation, now clock.Micros, maySpread bool) string {
+// progress that repair is meant to protect. Replicas that share a machine are moved only if maySpread is set.
+func (in *Input) repairReason(job *jobs.Job, allocation *fleet.Allocation, maySpread bool) string {
 	machine := allocation.Machine
 	switch {
 	case machine.QuarantineReason != "" && (job.IsService() || allocation.Checkpoints || machine.QuarantineReason == fleet.QuarantineFailing):
 		return plan.ReasonQuarantine
-	case machine.Cordoned && job.IsService() && now-allocation.ReservedAt > minReplicaAge:
+	case machine.Cordoned && job.IsService() && in.snapshot.Now-allocation.ReservedAt > minReplicaAge:
 		return plan.ReasonDrain
-	case job.IsService() && maySpread:
+	case job.IsService() && maySpread && in.shareMachine(job, machine):
 		return plan.ReasonSpread
 	}
 	return ""
 }
+
+// shareMachine reports whether more than one task of a job is to remain on a machine.
+func (in *Input) shareMachine(job *jobs.Job, machine *fleet.Machine) bool {
+	if job.Plan.Machines[machine.Name] <= 1 {
+		return false
+	}
+	planned := in.snapshot.Machine(machine.Name)
+	return planned != nil && planned.Remaining(job.Plan) > 1
+}
