Recording: a damaged record doesn't drop the transaction that was to change it

Symptom: an accepted job never starts, or a lost task is not started again, until another controller leads; its place and its part of the team's limit are taken meanwhile, and every other change of the transaction is lost with it.

Cause: resolveConflict returned as if the term were over when a record that failed its condition could not be decoded: neither applied nor queued again.

Change: such a record counts as changed by somebody else. The changes are queued again under its revision, attempts are written anew, the job stays known, and the damage is listed as elsewhere (each key once).

--- a/damaged_records_test.go
+++ b/damaged_records_test.go
@@ -293,3 +293,55 @@
 		t.Errorf("the catalog is not written again: %v", err)
 	}
 }
+
+// Guards against accepted work that is dropped: a record that is damaged while a leader is about to change
+// it does not keep the leader from recording the change. Jobs stay known, their tasks start and end, and
+// operators see the damage.
+func TestRecordDamagedBeforeChange(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		tasks int // if 1, the attempt is in a shared record
+		key   func(cluster *testCluster) string
+		kind  recovery.DamageKind
+	}{
+		{"job", 2, func(*testCluster) string { return store.JobKey("j-1") }, recovery.DamageJob},
+		{"job with shared attempts", 1, func(*testCluster) string { return store.JobKey("j-1") }, recovery.DamageJob},
+		{"attempts", 2, func(*testCluster) string { return store.ChunkKey("j-1", 0) }, recovery.DamageRebuilt},
+		{"shared attempts", 1, func(cluster *testCluster) string { return cluster.state.Keys(store.PrefixShared)[0] }, recovery.DamageRebuilt},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			cluster, node, leader, worker := clusterWithWorker(t)
+			cluster.submit(node, jobSpec("j-1", func(spec *wire.Spec) { spec.Tasks = tt.tasks }))
+			cluster.resync(leader)
+			if tt.kind == recovery.DamageRebuilt { // these records exist once the tasks are placed
+				cluster.settle(leader)
+				heartbeat(t, leader, worker)
+				worker.EndTask("j-1/0", "lost") // its restart changes the record
+				heartbeat(t, leader, worker)
+			}
+			cluster.writeRecord(node, tt.key(cluster), damagedRecord)
+			for range 3 {
+				cluster.advance(3 * time.Second)
+				cluster.settle(leader)
+				heartbeat(t, leader, worker)
+			}
+			if got := worker.LiveTasks(); len(got) != tt.tasks {
+				t.Fatalf("%v run, want %d tasks of j-1", got, tt.tasks)
+			}
+			if report := mustRecoveryReport(t, leader); len(report.Damaged) != 1 || report.Damaged[0].Kind != tt.kind || report.Damaged[0].Key != tt.key(cluster) {
+				t.Errorf("damaged records %+v, want one of kind %s", report.Damaged, tt.kind)
+			}
+			for _, task := range worker.LiveTasks() {
+				worker.EndTask(task, wire.CauseDone)
+			}
+			for range 3 {
+				heartbeat(t, leader, worker)
+				cluster.advance(3 * time.Second)
+				cluster.settle(leader)
+			}
+			if _, status, _ := cluster.ask(node, http.MethodGet, jobPath("j-1"), nil); status.Status != wire.JobDone {
+				t.Errorf("%+v after its tasks ended, want done", status)
+			}
+		})
+	}
+}
--- a/reconciliation/load.go
+++ b/reconciliation/load.go
@@ -1,6 +1,8 @@
 package reconciliation
 
 import (
+	"slices"
+
 	"cedardoor/clock"
 	"cedardoor/fleet"
 	"cedardoor/jobs"
@@ -25,7 +27,7 @@
 // reports or its lease must have expired.
 func (r *Reconciler) Load(records *recovery.Records, sink Sink, began, now clock.Micros) {
 	r.unreadable.predecessorLeasesEnd = now + r.PredecessorLease
-	r.recordDamage(records.Damaged)
+	r.RecordDamage(records.Damaged...)
 	for uid, state := range records.States {
 		if state == recovery.JobUnreadable || state == recovery.JobUnrecorded {
 			r.unusable[uid] = true
@@ -60,8 +62,11 @@
 		"took_s", (now - began).Seconds())
 }
 
-// recordDamage keeps damaged records for the report to operators, and logs the first few.
-func (r *Reconciler) recordDamage(damaged []recovery.Damage) {
+// RecordDamage keeps damaged records for the report to operators, each key once, and logs the first few.
+func (r *Reconciler) RecordDamage(damaged ...recovery.Damage) {
+	damaged = slices.DeleteFunc(slices.Clone(damaged), func(d recovery.Damage) bool {
+		return slices.ContainsFunc(r.damaged, func(known recovery.Damage) bool { return known.Key == d.Key })
+	})
 	for i, d := range damaged {
 		if i < maxLoggedDamage {
 			r.Log.Error("record can't be used", "key", d.Key, "kind", d.Kind, "detail", d.Detail, "follows", d.Kind.Advice())
--- a/recording.go
+++ b/recording.go
@@ -9,6 +9,7 @@
 	"cedardoor/clock"
 	"cedardoor/fleet"
 	"cedardoor/jobs"
+	"cedardoor/recovery"
 	"cedardoor/statewriter"
 	"cedardoor/store"
 	"cedardoor/wire"
@@ -88,8 +89,8 @@
 }
 
 // resolveConflict determines why conditions of a transaction failed: an earlier copy of it was
-// applied, a record was changed or deleted in the meantime, or the term is over. It returns false in
-// the last case, and if a record can't be read or decoded.
+// applied, a record was changed, damaged or deleted in the meantime, or the term is over. It returns
+// false in the last case.
 func (l *leader) resolveConflict(ctx context.Context, tx *statewriter.Transaction, failedKeys []string) bool {
 	if slices.Contains(failedKeys, store.KeyLeader) {
 		l.log.Info("another controller leads")
@@ -103,15 +104,16 @@
 		applied, over := false, !found
 		uid, isJob := strings.CutPrefix(key, store.PrefixJob)
 		if found {
-			if applied, over, err = tx.Wrote(row, isJob); err != nil {
-				return false
-			}
+			applied, over, err = tx.Wrote(row, isJob)
 		}
 		if applied {
 			l.transactionApplied(tx, row.ModRevision)
 			return true
 		}
 		l.mu.Lock()
+		if err != nil {
+			l.recordDamaged(key, uid, isJob, err)
+		}
 		if isJob {
 			l.jobChanged(uid, row.ModRevision, over)
 		}
@@ -125,6 +127,17 @@
 	return true
 }
 
+// recordDamaged lists a record that this leader was to change and that can't be decoded. The leader knows
+// what the record is about: a record of attempts is written again, and a job goes on under the damaged
+// record, whose existence shows that it has not been cancelled. The caller holds mu.
+func (l *leader) recordDamaged(key, uid string, isJob bool, err error) {
+	damage := recovery.Damage{Key: key, Kind: recovery.DamageRebuilt, Detail: err.Error()}
+	if isJob {
+		damage.Kind, damage.Job = recovery.DamageJob, uid
+	}
+	l.reconciler.RecordDamage(damage)
+}
+
 // jobChanged handles a job's record that has changed, or a job that is over: it was cancelled, or an
 // earlier transaction finished it and a stale listing added it again. The caller holds mu.
 func (l *leader) jobChanged(uid string, modRevision uint64, over bool) {
