API: a relayed answer has no Retry-After of the refusal before it

Symptom: with the state service refusing one controller alone, the first request relayed after the controller's own refusal was answered 200 with 'Retry-After: 1'; a client that honours it repeats what is settled.

Cause: withRelay gave the buffered response the headers of the real one, so the refusal's header stayed when the other controller's answer was written.

Change: the buffered response has headers of its own, copied when it is the one that is sent.

Evidence: TestRelayedAnswerHasNoRetryAfter failed before ('status 200 with Retry-After 1') and passes; the tests of relays and of users' requests pass.

--- a/api/relay.go
+++ b/api/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 
@@ -63,6 +64,13 @@
 // Write implements http.ResponseWriter.
 func (b *BufferedResponse) Write(p []byte) (int, error) { return b.Body.Write(p) }
 
+// writeTo writes the response to w.
+func (b *BufferedResponse) writeTo(w http.ResponseWriter) {
+	maps.Copy(w.Header(), b.header)
+	w.WriteHeader(b.Status)
+	_, _ = w.Write(b.Body.Bytes())
+}
+
 // withRelay wraps a handler: requests are relayed to another controller while the state service does
 // not serve this one. All requests are idempotent, so one that was partly executed here may be
 // repeated there.
@@ -89,15 +97,13 @@
 				return
 			}
 		}
-		response := NewBufferedResponse()
-		response.header = w.Header()
+		response := NewBufferedResponse() // with headers of its own, which a relayed answer must not have
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next(response, r)
 		if response.Status == http.StatusServiceUnavailable && !failing && s.Store.Failing() && s.relay(w, r, body) {
 			return
 		}
-		w.WriteHeader(response.Status)
-		_, _ = w.Write(response.Body.Bytes())
+		response.writeTo(w)
 	}
 }
 
--- a/user_requests_test.go
+++ b/user_requests_test.go
@@ -104,6 +104,33 @@
 	}
 }
 
+// Guards against an answer that tells users to wait although it is final: one that another controller
+// gives after this one was refused has nothing of this one's refusal.
+func TestRelayedAnswerHasNoRetryAfter(t *testing.T) {
+	cluster, nodeA, nodeB := clusterWithTwoNodes(t, nil)
+	cluster.connect(nodeA, nodeB)
+	cluster.elect(nodeB)
+	cluster.submit(nodeA, jobSpec("j-1", nil))
+	cluster.state.Refuse(nodeA.cfg.Node, true)
+	relayed := 0
+	for range 5 { // first refused, then relayed after a refusal, then relayed at once
+		code, _, header := cluster.ask(nodeA, http.MethodGet, jobPath("j-1"), nil)
+		if code != http.StatusOK {
+			continue
+		}
+		relayed++
+		if after := header.Get("Retry-After"); after != "" {
+			t.Errorf("answer %d: status 200 with Retry-After %s", relayed, after)
+		}
+		if got := header.Get("Content-Type"); got != wire.ContentType {
+			t.Errorf("answer %d: content type %q, want %q", relayed, got, wire.ContentType)
+		}
+	}
+	if relayed < 2 {
+		t.Errorf("%d answers were relayed, want at least 2", relayed)
+	}
+}
+
 // A controller validates jobs against the current machine types. While the cloud does not respond, it
 // uses its cached catalog for a limited time and then refuses submissions with 503.
 func TestStaleCatalogIsNotUsed(t *testing.T) {
