Recording: results that are due at once share a transaction

Symptom: results due at the same moment were recorded one to a transaction, each with a request of its own.

Cause: markDueResults asked for each result whether anything else is to be recorded; the first one that it marked was.

Change: asked once, before the first is marked.

Evidence: TestDueResultsAreRecordedTogether failed before (one record of six in the transaction, want four: half a transaction) and passes. The tests of records and results of whole controllers pass.

--- a/statewriter/writer.go
+++ b/statewriter/writer.go
@@ -266,9 +266,10 @@
 	slices.SortFunc(due, func(a, b string) int {
 		return cmp.Or(cmp.Compare(w.pendingResults[a], w.pendingResults[b]), cmp.Compare(a, b))
 	})
+	othersFirst := len(w.dirty) > 0
 	remaining := w.txnOps / 2
 	for _, uid := range due {
-		if remaining--; remaining < 0 || len(w.dirty) > 0 && w.pendingResults[uid]+w.resultDelay > now {
+		if remaining--; remaining < 0 || othersFirst && w.pendingResults[uid]+w.resultDelay > now {
 			break
 		}
 		delete(w.pendingResults, uid)
--- a/statewriter/writer_test.go
+++ b/statewriter/writer_test.go
@@ -223,6 +223,42 @@
 	}
 }
 
+// Guards against a transaction for each result: results that are due at once are recorded together, up to
+// half a transaction, unless placements go first.
+func TestDueResultsAreRecordedTogether(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		placement bool
+		want      int
+	}{{"nothing else to record", false, 4}, {"a placement goes first", true, 1}} {
+		f := newFixture(t)
+		var unfinished []*jobs.Job
+		for k := range 6 {
+			job := f.add(fmt.Sprintf("j-%d", k), 2, "standard")
+			f.place(job, 0)
+			unfinished = append(unfinished, job)
+		}
+		for f.w.HasDirty() {
+			f.apply(f.next(ampleCapacity), 20)
+		}
+		for _, job := range unfinished {
+			allocation := job.Tasks[0].Allocation
+			job.Tasks[0].Allocation, job.Tasks[0].State = nil, jobs.TaskDone
+			job.Done++
+			chunk := f.w.AttemptEnded(job, 0)
+			chunk.EndedAttempts = append(chunk.EndedAttempts, allocation)
+			f.w.MarkResult(job, 0)
+		}
+		if tt.placement {
+			f.place(f.add("j-9", 2, "standard"), 0)
+		}
+		tx, _ := f.w.Next(f.table, ampleCapacity, f.w.resultDelay)
+		if got := len(writtenKeys(tx)); got != tt.want {
+			t.Errorf("%s: the transaction writes %q, want %d records", tt.name, writtenKeys(tx), tt.want)
+		}
+	}
+}
+
 // TestWroteDetectsEarlierCopy checks that the nonce identifies the records that the transaction wrote.
 func TestWroteDetectsEarlierCopy(t *testing.T) {
 	tx := &Transaction{nonce: "9.4"}
