--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -98,7 +98,7 @@
 
 // Decide makes one pass: it marks machines to drain or return, and returns what to rent and return.
 func (a *Autoscaler) Decide(v View) Decision {
-	fleetView := a.viewFleet(v)
+	fleetView := a.newFleetView(v)
 	machines := append(fleetView.machines, a.rentals.notSeen(a.Fleet)...)
 	a.rentals.expireRefusals(v.Now)
 	unreachable := fleet.UnreachableZones(fleetView.silentByZone, fleetView.knownByZone)
@@ -106,8 +106,8 @@
 		return unreachable[zone] || a.rentals.isRefused(machineType, zone, preemptible)
 	}
 	demand := a.Demand(v)
-	demand.Constrained, demand.Stuck = a.ConstrainedWork(v, machines), a.stuckWork(v, stuckAfter)
-	demand.Waiting = a.stuckWork(v, waitingAfter)
+	demand.Constrained, demand.Stuck = a.ConstrainedWork(v, machines), a.stuckConstraints(v, stuckAfter)
+	demand.Waiting = a.stuckConstraints(v, waitingAfter)
 	resize := cloud.Resize(a.catalog.MachineTypes, machines, demand, refused)
 	a.setCordoned(resize.Cordon, true)
 	a.setCordoned(resize.Uncordon, false)
--- a/autoscaler/constraints.go
+++ b/autoscaler/constraints.go
@@ -128,15 +128,15 @@
 	return sorted
 }
 
-// stuckWork lists one task of each job with waiting tasks and no placement within the given time,
+// stuckConstraints lists one task of each job with waiting tasks and no placement within the given time,
 // although its team's limit allows one. For a job that must be spread or stay in one zone,
 // the task is bound to the job's preferred zone.
-func (a *Autoscaler) stuckWork(v View, after clock.Micros) (stuck []cloud.Constraint) {
+func (a *Autoscaler) stuckConstraints(v View, after clock.Micros) (stuck []cloud.Constraint) {
 	var zones []string
 	for _, machineType := range a.catalog.MachineTypes {
 		zones = append(zones, machineType.Zones...)
 	}
-	for _, job := range a.oldestStuck(v, after) {
+	for _, job := range a.oldestStuckJobs(v, after) {
 		work := newConstraint(job)
 		if work.Zone == "" && (job.Spec.SameZone || job.Spec.Spread) {
 			work.Zone = job.PreferredZone(zones)
@@ -150,8 +150,8 @@
 	return stuck
 }
 
-// oldestStuck lists up to maxStuck stuck jobs, the oldest first.
-func (a *Autoscaler) oldestStuck(v View, after clock.Micros) (stuck []*jobs.Job) {
+// oldestStuckJobs lists up to maxStuck stuck jobs, the oldest first.
+func (a *Autoscaler) oldestStuckJobs(v View, after clock.Micros) (stuck []*jobs.Job) {
 	for job := range v.Jobs.Waiting() {
 		since := max(job.SeenAt, v.RunningSince)
 		if !job.Failures.OnTrial() { // placing a task on trial is not progress if it fails again
--- a/autoscaler/fleet_view.go
+++ b/autoscaler/fleet_view.go
@@ -16,8 +16,8 @@
 	knownByZone  map[string]int // number of machines that report or are silent
 }
 
-// viewFleet builds the view of the fleet, and marks the machines to return.
-func (a *Autoscaler) viewFleet(v View) fleetView {
+// newFleetView builds the view of the fleet, and marks the machines to return.
+func (a *Autoscaler) newFleetView(v View) fleetView {
 	view := fleetView{silentByZone: map[string]int{}, knownByZone: map[string]int{}}
 	overdue := a.Overdue(v)
 	for _, machine := range a.Fleet.Machines() {
--- a/bench_test.go
+++ b/bench_test.go
@@ -48,7 +48,7 @@
 	b.ResetTimer()
 	for range b.N {
 		leader.mu.Lock()
-		leader.planner.RepairNow()
+		leader.planInput.RepairNow()
 		leader.runPlan(leader.clock.Now())
 		leader.mu.Unlock()
 	}
@@ -158,7 +158,7 @@
 		if err := leader.addJob(store.JobKey(uid), encoded, epoch, leader.clock.Now()); err != nil {
 			b.Fatal(err)
 		}
-		leader.planner.AllowBestEffort(48)
+		leader.planInput.AllowBestEffort(48)
 		leader.mu.Unlock()
 		leader.pass(b.Context())
 		for round := range 3 {
--- a/failure_attribution_test.go
+++ b/failure_attribution_test.go
@@ -79,8 +79,8 @@
 	if need := leader.autoscaler.Demand(leader.scalingView(leader.clock.Now())); need.Preemptible.Cores > 0 || need.Urgent.Cores > 0 {
 		t.Errorf("demand for a failing job: %+v", need)
 	}
-	if len(leader.planner.Reservations()) > 0 {
-		t.Errorf("capacity is reserved for a failing job: %v", leader.planner.Reservations())
+	if len(leader.planInput.Reservations()) > 0 {
+		t.Errorf("capacity is reserved for a failing job: %v", leader.planInput.Reservations())
 	}
 }
 
--- a/leader.go
+++ b/leader.go
@@ -54,7 +54,7 @@
 	detector        *detector.Detector
 	attribution     *attribution.Tracker
 	autoscaler      *autoscaler.Autoscaler
-	planner         *planinput.Input
+	planInput       *planinput.Input
 	dispatcher      *dispatcher.Dispatcher
 }
 
@@ -87,7 +87,7 @@
 	}
 	l.fleet = fleet.New(l.workerLease(), l.reportInterval(), term.Token, ledger)
 	l.addComponents()
-	l.fleet.OnMachineChange = l.planner.MachineChanged
+	l.fleet.OnMachineChange = l.planInput.MachineChanged
 	l.fleet.OnCapacityChange = l.jobs.CapacityChanged
 	l.fleet.DecideOrphan = l.reconciler.DecideOrphan
 	return l
@@ -100,7 +100,7 @@
 	l.writer = statewriter.New(l.term.Revision, facts.State, func(job *jobs.Job) bool { return l.reconciler.HasUnreadable(job) })
 	l.attribution = attribution.NewTracker(l.fleet, l.log)
 	l.dispatcher = dispatcher.New(l.fleet, l.budget.Commands, l.workerLease(), since)
-	l.planner = planinput.New(planinput.Settings{Facts: facts, Operator: l.operator, Fleet: l.fleet, Quota: l.quota, Log: l.log})
+	l.planInput = planinput.New(planinput.Settings{Facts: facts, Operator: l.operator, Fleet: l.fleet, Quota: l.quota, Log: l.log})
 	l.detector = detector.New(detector.Settings{Fleet: l.fleet, ReportInterval: l.reportInterval(), TermStart: since,
 		MaxProbes: l.budget.Probes, Log: l.log})
 	l.autoscaler = autoscaler.New(autoscaler.Settings{Facts: facts, Operator: l.operator, Fleet: l.fleet, Quota: l.quota,
--- a/plan/launch.go
+++ b/plan/launch.go
@@ -26,7 +26,7 @@
 	var failed []*Job
 	for _, w := range p.launchStarved(waiting, &s) {
 		placed := p.launchJob(w, &failed)
-		if w.Job.Priority > s.lowestStarved && !w.mayGoFirst() {
+		if w.Job.Priority > s.lowestStarved && !w.mayLaunchAhead() {
 			s.credits += placed
 		}
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -23,10 +23,10 @@
 		Occupancy:    Occupancy{Zones: map[string]int{}, Machines: map[string]int{}}}
 }
 
-// newGuestJob is like newJob for team guest.
-func newGuestJob(uid string, tasks int, cores, ram float64) *Job {
+// newJobOfTeam is like newJob for another team.
+func newJobOfTeam(team, uid string, tasks int, cores, ram float64) *Job {
 	job := newJob(uid, tasks, cores, ram)
-	job.Team = "guest"
+	job.Team = team
 	return job
 }
 
@@ -87,7 +87,7 @@
 // Make restores the snapshot, its jobs and the ledger.
 func TestPlanRestoresSnapshot(t *testing.T) {
 	quarantined, free := newMachine("a", "x", 4, 8), newMachine("b", "y", 8, 32)
-	quarantined.QuarantineReason = "sick"
+	quarantined.QuarantineReason = "failing"
 	free.Victims = []Victim{{Task: TaskID{"j-9", 0}, Priority: wire.PriorityLow, Resources: Resources{Cores: 2, RAM: 2}}}
 	launched, moved := newJob("j-1", 3, 3, 4), newJob("j-2", 1, 1, 1)
 	moved.Priority = wire.PriorityHigh
@@ -166,7 +166,7 @@
 	machine := newMachine(name, string(rune('x'+r.IntN(3))), float64(r.IntN(20)), float64(r.IntN(40)))
 	machine.Preemptible, machine.Usable = r.IntN(3) == 0, r.IntN(6) > 0
 	if r.IntN(6) == 0 {
-		machine.QuarantineReason = "sick"
+		machine.QuarantineReason = "failing"
 	}
 	free := machine.Free
 	c.free[name], c.zone[name] = &free, machine.Zone
--- a/plan/preempt_test.go
+++ b/plan/preempt_test.go
@@ -49,7 +49,7 @@
 		{"of a team beyond its guarantee by one task", 8, 16, true, 1},
 		{"of a team within its guarantee", 16, 16, true, 0},
 	} {
-		guest := newGuestJob("j-1", 2, 8, 8)
+		guest := newJobOfTeam("guest", "j-1", 2, 8, 8)
 		guest.Priority = wire.PriorityHigh
 		machine := newMachine("a", "x", 0, 10)
 		for i := range 2 {
@@ -74,7 +74,7 @@
 func TestGuaranteeOverridesPriority(t *testing.T) {
 	own := newJob("j-1", 1, 8, 8)
 	own.Entitled, own.Priority = true, wire.PriorityLow
-	guest, service := newGuestJob("j-2", 1, 8, 8), newGuestJob("j-3", 1, 8, 8)
+	guest, service := newJobOfTeam("guest", "j-2", 1, 8, 8), newJobOfTeam("guest", "j-3", 1, 8, 8)
 	guest.Priority, service.Priority, service.Service = wire.PriorityCritical, wire.PriorityCritical, true
 	machine := newMachine("a", "x", 8, 8)
 	machine.ReservedFor = "j-2" // a reservation for the other job does not matter either
@@ -109,7 +109,7 @@
 		{"a replica beyond its guarantee", true, wire.PriorityLow, Victim{Priority: wire.PriorityCritical, Replica: true}, false, true},
 		{"a replica within its guarantee", true, wire.PriorityCritical, Victim{Priority: wire.PriorityLow, Replica: true}, true, false},
 	} {
-		guest := newGuestJob("j-1", 1, 8, 8)
+		guest := newJobOfTeam("guest", "j-1", 1, 8, 8)
 		victim := tt.victim
 		victim.Task, victim.Job, victim.Resources, victim.RunningSince = TaskID{"j-1", 0}, guest, guest.Resources, 50
 		machine := newMachine("a", "x", 0, 0)
@@ -134,7 +134,7 @@
 // newGuestMachine returns a machine that is full except for the given free cores. Team guest runs
 // tasks of two cores each there, beyond its guarantee.
 func newGuestMachine(name, zone string, freeCores float64, guestTasks int) *Machine {
-	guest := newGuestJob("j-9", 100, 2, 2)
+	guest := newJobOfTeam("guest", "j-9", 100, 2, 2)
 	machine := newMachine(name, zone, freeCores, 64)
 	for i := range guestTasks {
 		machine.Victims = append(machine.Victims, Victim{Task: TaskID{"j-9", int(name[0])*100 + i}, Job: guest, Priority: wire.PriorityHigh,
@@ -191,7 +191,7 @@
 // While the victims are stopping, the capacity stays claimed: the next plan preempts nothing
 // more and places no other job there.
 func TestCapacityForGangStaysClaimed(t *testing.T) {
-	gang, other := newJob("j-1", 4, 2, 2), newGuestJob("j-2", 4, 2, 2)
+	gang, other := newJob("j-1", 4, 2, 2), newJobOfTeam("guest", "j-2", 4, 2, 2)
 	gang.Gang, gang.Unfinished, gang.Priority = true, 4, wire.PriorityLow
 	other.Priority = wire.PriorityHigh
 	machine := newGuestMachine("a", "x", 4, 2)
--- a/plan/repair_test.go
+++ b/plan/repair_test.go
@@ -9,7 +9,7 @@
 
 func TestRepairMovesLargestMemoryFirst(t *testing.T) {
 	quarantined := newMachine("a", "x", 0, 0)
-	quarantined.QuarantineReason = "sick"
+	quarantined.QuarantineReason = "failing"
 	small, large := newJob("j-1", 1, 1, 2), newJob("j-2", 1, 1, 8)
 	s := &Snapshot{Machines: []*Machine{quarantined, newMachine("b", "x", 8, 32)}, MaxMoves: 1}
 	for _, job := range []*Job{small, large} {
@@ -31,7 +31,7 @@
 // and the move must not exceed the zone cap together.
 func TestMoveKeepsZoneCapUntilStopped(t *testing.T) {
 	quarantined := newMachine("a", "x", 0, 0)
-	quarantined.QuarantineReason = "sick"
+	quarantined.QuarantineReason = "failing"
 	job := newJob("j-1", 2, 1, 2)
 	job.Service, job.Spread = true, true
 	job.Count("x", "a", 1)
--- a/plan/rules_test.go
+++ b/plan/rules_test.go
@@ -13,7 +13,7 @@
 		want   bool
 	}{
 		{"no restriction", func(*Job, *Machine, *Snapshot) {}, true},
-		{"quarantined", func(_ *Job, machine *Machine, _ *Snapshot) { machine.QuarantineReason = "sick" }, false},
+		{"quarantined", func(_ *Job, machine *Machine, _ *Snapshot) { machine.QuarantineReason = "failing" }, false},
 		{"cordoned", func(_ *Job, machine *Machine, _ *Snapshot) { machine.Cordoned = true }, false},
 		{"unresponsive", func(_ *Job, machine *Machine, _ *Snapshot) { machine.Usable = false }, false},
 		{"type", func(job *Job, _ *Machine, _ *Snapshot) { job.MachineTypes = []string{"z"} }, false},
--- a/plan/spreading_test.go
+++ b/plan/spreading_test.go
@@ -88,7 +88,7 @@
 // that the preemption has left alone.
 func TestPreemptedReplicaIsNotMoved(t *testing.T) {
 	shared, other := newMachine("a", "x", 0, 0), newMachine("b", "y", 8, 32)
-	service := newGuestJob("j-1", 2, 2, 2)
+	service := newJobOfTeam("guest", "j-1", 2, 2, 2)
 	service.Service = true
 	service.Count("x", "a", 2)
 	for i := range 2 {
--- a/plan/starvation.go
+++ b/plan/starvation.go
@@ -33,7 +33,7 @@
 	s := starvation{credits: p.StarvationCredits, lowestStarved: wire.PriorityCritical}
 	starved, others := false, false
 	for _, w := range waiting {
-		if w.mayGoFirst() {
+		if w.mayLaunchAhead() {
 			starved, s.lowestStarved = true, min(s.lowestStarved, w.Job.Priority)
 		} else {
 			others, s.highestOther = true, max(s.highestOther, w.Job.Priority)
@@ -45,8 +45,8 @@
 	return s
 }
 
-// mayGoFirst reports whether the job's first task may be launched ahead of work of higher priority.
-func (w *Waiting) mayGoFirst() bool {
+// mayLaunchAhead reports whether the job's first task may be launched ahead of work of higher priority.
+func (w *Waiting) mayLaunchAhead() bool {
 	job := w.Job
 	return job.Starved && !job.Gang && !job.SameZone && !job.hasTasks()
 }
@@ -56,12 +56,12 @@
 func (p *planner) launchStarved(waiting []*Waiting, s *starvation) (rest []*Waiting) {
 	for _, w := range waiting {
 		job := w.Job
-		if !w.mayGoFirst() || s.credits <= 0 && job.Priority < s.highestOther && !p.hasReservation(job) {
+		if !w.mayLaunchAhead() || s.credits <= 0 && job.Priority < s.highestOther && !p.hasReservation(job) {
 			rest = append(rest, w)
 			continue
 		}
 		reserved := p.hasReservation(job)
-		placed := p.launchFirst(w)
+		placed := p.launchAhead(w)
 		if placed == 0 {
 			p.reserve(job)
 		}
@@ -75,8 +75,8 @@
 	return rest
 }
 
-// launchFirst places the first StarvedTasks tasks of a starved job while there is capacity.
-func (p *planner) launchFirst(w *Waiting) (placed int) {
+// launchAhead places the first StarvedTasks tasks of a starved job while there is capacity.
+func (p *planner) launchAhead(w *Waiting) (placed int) {
 	for _, index := range w.Indexes[:min(StarvedTasks, len(w.Indexes))] {
 		machine := p.target(w.Job, "", nil)
 		if machine == nil {
--- a/plan/target.go
+++ b/plan/target.go
@@ -110,7 +110,7 @@
 		// Replicas go to distinct machines while there are enough of them. But
 		// a machine that has the image and one replica is preferred to one that
 		// would have to fetch the image, since users would wait for the fetch.
-		if x, y := crowding(job, a), crowding(job, b); x != y {
+		if x, y := placementPenalty(job, a), placementPenalty(job, b); x != y {
 			return x < y
 		}
 	}
@@ -135,18 +135,18 @@
 	return a.Name < b.Name
 }
 
-// The parts of a machine's crowding for one more replica: a missing image counts as much as
-// one and a half replicas of the job.
+// The parts of a machine's penalty for one more replica of a service: a missing image counts as much
+// as one and a half replicas that are there already.
 const (
-	replicaCrowding   = 2
-	coldImageCrowding = 3
+	sharedMachinePenalty = 2
+	coldImagePenalty     = 3
 )
 
-// crowding returns how crowded a machine is for one more replica of a job.
-func crowding(job *Job, machine *Machine) int {
-	crowding := replicaCrowding * job.Machines[machine.Name]
+// placementPenalty returns how undesirable a machine is for one more replica of a service.
+func placementPenalty(job *Job, machine *Machine) int {
+	penalty := sharedMachinePenalty * job.Machines[machine.Name]
 	if !machine.holds(job.Image) {
-		crowding += coldImageCrowding
+		penalty += coldImagePenalty
 	}
-	return crowding
+	return penalty
 }
--- a/planning.go
+++ b/planning.go
@@ -11,16 +11,16 @@
 // runPlan makes a plan, if one is due, and applies it: it reserves resources for launches and moves, and
 // stops tasks. Run commands are sent once the placements are recorded. The caller holds mu.
 func (l *leader) runPlan(now clock.Micros) {
-	changed := l.planner.HasChanges() || l.jobs.Changed()
-	l.planner.RefreshChanged(func(machine *fleet.Machine) bool { return l.refreshMachine(machine, now) })
-	round, due := l.planner.Due(now, l.jobs.WaitingLen() > 0, changed)
+	changed := l.planInput.HasChanges() || l.jobs.Changed()
+	l.planInput.RefreshChanged(func(machine *fleet.Machine) bool { return l.refreshMachine(machine, now) })
+	round, due := l.planInput.Due(now, l.jobs.WaitingLen() > 0, changed)
 	if !due {
 		return
 	}
 	began := l.clock.Now()
 	result := plan.Make(l.snapshot(now, round))
 	l.jobs.SetChanged(false)
-	unplaced := l.planner.RecordResult(l.jobs, &result, now)
+	unplaced := l.planInput.RecordResult(l.jobs, &result, now)
 	for _, launch := range result.Launches {
 		l.launch(launch, now)
 	}
@@ -50,7 +50,7 @@
 
 // snapshot prepares the snapshot of the cluster for a plan.
 func (l *leader) snapshot(now clock.Micros, round bool) *plan.Snapshot {
-	return l.planner.Snapshot(planinput.SnapshotParams{Now: now, Wall: l.clock.Wall(), Seed: l.writer.NextSequence(), RepairRound: round, Jobs: l.jobs,
+	return l.planInput.Snapshot(planinput.SnapshotParams{Now: now, Wall: l.clock.Wall(), Seed: l.writer.NextSequence(), RepairRound: round, Jobs: l.jobs,
 		AvoidFailures: l.attribution.FewMachinesFailed(),
 		TrialTasks:    func(job *jobs.Job) []int { return l.trialTasks(job, now) }})
 }
@@ -61,7 +61,7 @@
 func (l *leader) refreshMachine(machine *fleet.Machine, now clock.Micros) (again bool) {
 	if current := l.fleet.Machine(machine.Name); current != machine {
 		if current == nil {
-			l.planner.Remove(machine.Name)
+			l.planInput.Remove(machine.Name)
 		}
 		l.detector.Forget(machine)
 		l.dispatcher.Forget(machine)
@@ -72,7 +72,7 @@
 		l.attribution.EndSuspension(machine, now)
 	}
 	l.detector.EvaluateMachine(machine)
-	return l.planner.Refresh(machine, l.attribution.HasFailures(machine), now)
+	return l.planInput.Refresh(machine, l.attribution.HasFailures(machine), now)
 }
 
 // launch reserves resources for a waiting task on a machine and marks the task as placed.
@@ -89,7 +89,7 @@
 		job.Failures.TrialStarted(now)
 	}
 	if job.IsBestEffort() {
-		l.planner.BestEffortStarted()
+		l.planInput.BestEffortStarted()
 	}
 	task.State, task.Allocation, task.Attempt = jobs.TaskPlaced, allocation, allocation.Attempt
 	l.writer.MarkPlaced(job, launch.Task.Index)
--- a/replica_spreading_test.go
+++ b/replica_spreading_test.go
@@ -48,7 +48,7 @@
 func (s *testCluster) repairRound(leader *leader) {
 	s.tb.Helper()
 	leader.mu.Lock()
-	leader.planner.RepairNow()
+	leader.planInput.RepairNow()
 	leader.mu.Unlock()
 	s.settle(leader)
 }
--- a/scaling.go
+++ b/scaling.go
@@ -128,7 +128,7 @@
 // scalingView returns the autoscaler's input. The caller holds mu.
 func (l *leader) scalingView(now clock.Micros) autoscaler.View {
 	return autoscaler.View{Now: now, Wall: l.clock.Wall(), RunningSince: l.detector.RunningSince(), Jobs: l.jobs, Failures: l.attribution,
-		BestEffortRate: l.planner.BestEffortRate(), Awaited: l.detector, Reconnecting: l.reconciler.Reconnecting(now)}
+		BestEffortRate: l.planInput.BestEffortRate(), Awaited: l.detector, Reconnecting: l.reconciler.Reconnecting(now)}
 }
 
 // autoscale runs one pass of the autoscaler and carries out its decision.
