Preemption: a job that was starved keeps its last task

Symptom: a job that was begun after 75 s of waiting could lose its only running task to more urgent work; having begun once, it does not count as starved again.

Cause: the rule that such a job keeps its tasks while no more than one is placed counted when a machine was refreshed, and held tasks that are being stopped, by this plan or by earlier ones.

Change: the planner counts when it chooses a victim, by the tasks that will remain. PreemptionExempt moves from jobs.Job to plan.Job.

--- a/jobs/job.go
+++ b/jobs/job.go
@@ -36,11 +36,10 @@
 	Started bool  // whether any task has had an attempt
 
 	Record           Record
-	Failures         attribution.History
-	RunTimes         RunTimes
-	LastPlacedAt     clock.Micros // when a task was last placed
-	ArrivalCounted   bool         // its work is counted as an arrival by the autoscaler, or need not be
-	PreemptionExempt bool         // starved before its first start: its first tasks are not preempted
+	Failures       attribution.History
+	RunTimes       RunTimes
+	LastPlacedAt   clock.Micros // when a task was last placed
+	ArrivalCounted bool         // its work is counted as an arrival by the autoscaler, or need not be
 }
 
 // Targets are the times, from its acceptance, within which a job should start and finish.
--- a/plan/job.go
+++ b/plan/job.go
@@ -43,6 +43,7 @@
 	Starved           bool         // batch job that has waited long with no task started
 	MayStartPartially bool         // any job that has waited as long: with SameZone it may start with only some of its tasks
 	OnTrial           bool         // it may fail on any machine: it is limited to trial tasks, and nothing is preempted for it
+	PreemptionExempt  bool         // was starved before its first start: StarvedTasks of its tasks are not preempted
 }
 
 // Occupancy counts the tasks of a job that may exist, whether they have started or not.
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -102,7 +102,8 @@
 			break
 		}
 		victim := &machine.Victims[i]
-		if victim.stopped || warm && !job.Service && p.lostProgress(victim) > maxWarmLoss || !p.mayPreempt(job, victim, preempted[victim.team()]) {
+		if victim.stopped || warm && !job.Service && p.lostProgress(victim) > maxWarmLoss || !p.mayPreempt(job, victim, preempted[victim.team()]) ||
+			p.keepsTask(victim.Job, chosen) {
 			continue
 		}
 		capacity.add(victim.Resources)
@@ -118,6 +119,29 @@
 	return chosen, capacity.covers(&job.Resources)
 }
 
+// keepsTask reports whether a job that was starved has no more than StarvedTasks tasks left besides
+// those that are being stopped and the victims chosen so far.
+func (p *planner) keepsTask(job *Job, chosen preemption) bool {
+	if job == nil || !job.PreemptionExempt {
+		return false
+	}
+	left := 0
+	for _, i := range chosen.victims {
+		if chosen.machine.Victims[i].Job == job {
+			left--
+		}
+	}
+	for name, tasks := range job.Machines {
+		if machine := p.index.byName[name]; machine != nil {
+			tasks = p.remaining(job, machine)
+		}
+		if left += tasks; left > StarvedTasks {
+			return false
+		}
+	}
+	return true
+}
+
 // lostProgress returns the progress that a task loses when it is preempted.
 func (p *planner) lostProgress(victim *Victim) clock.Micros {
 	if victim.RunningSince == 0 {
--- a/planinput/machines.go
+++ b/planinput/machines.go
@@ -102,14 +102,11 @@
 }
 
 // mayPreempt reports whether a task may be offered to the planner as a victim. Replicas are preempted
-// only for teams' guarantees. A job that was starved keeps its tasks while no more than StarvedTasks of
-// them are placed.
+// only for teams' guarantees.
 func mayPreempt(job *jobs.Job, allocation *fleet.Allocation, guarantees bool) bool {
 	switch {
 	case job.Cancelled, job.IsGang(), job.IsService() && !guarantees:
 		return false
-	case job.PreemptionExempt && len(job.Tasks)-job.Done-len(job.Waiting) <= plan.StarvedTasks:
-		return false
 	}
 	return job.Tasks[allocation.Task.Index].Allocation == allocation
 }
--- a/planning.go
+++ b/planning.go
@@ -84,7 +84,7 @@
 		return
 	}
 	job.LastPlacedAt = now
-	job.PreemptionExempt = job.PreemptionExempt || job.Plan.Starved
+	job.Plan.PreemptionExempt = job.Plan.PreemptionExempt || job.Plan.Starved
 	if job.Plan.OnTrial {
 		job.Failures.TrialStarted(now)
 	}
