--- a/jobs/job.go
+++ b/jobs/job.go
@@ -35,7 +35,7 @@
 	Running int   // tasks that run now
 	Started bool  // whether any task has had an attempt
 
-	Record           Record
+	Record         Record
 	Failures       attribution.History
 	RunTimes       RunTimes
 	LastPlacedAt   clock.Micros // when a task was last placed
