API: a query is answered within the two seconds that users wait

Symptom: while the state service takes requests and answers none, a query that is relayed was refused after 2.4 s; its user had given up.

Cause: reads (1.2 s), local queries (1.5 s) and relays (1.2 s) are bounded each, their sum is not.

Change: a query's context ends after 1.8 s, wherever it is served. Submissions and cancellations stay below their 5 s (3 + 1.2).

--- a/api/query.go
+++ b/api/query.go
@@ -14,8 +14,13 @@
 	"github.com/go-chi/chi/v5"
 )
 
-// queryTimeout limits the time to serve a query.
-const queryTimeout = 1500 * time.Millisecond
+const (
+	// queryTimeout limits the time to answer a query, whether this controller or another one serves
+	// it: users wait two seconds.
+	queryTimeout = 1800 * time.Millisecond
+	// localQueryTimeout limits the time to serve a query here, which leaves some for a relay.
+	localQueryTimeout = 1500 * time.Millisecond
+)
 
 // maxWaitingLookups is the number of requests waiting for this controller's request budget above which
 // lookups of single jobs are refused. Queries of unfinished jobs share one read, but each query of a
@@ -23,7 +28,7 @@
 const maxWaitingLookups = 4
 
 func (s *Server) serveQuery(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), localQueryTimeout)
 	defer cancel()
 	uid, err := jobInPath(r)
 	if err != nil {
--- a/api/relay.go
+++ b/api/relay.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"strings"
+	"time"
 
 	"cedardoor/wire"
 )
@@ -107,6 +108,15 @@
 	}
 }
 
+// withTimeout wraps a handler: its request's context ends after a timeout.
+func withTimeout(timeout time.Duration, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		next(w, r.WithContext(ctx))
+	}
+}
+
 // relay lets another controller serve a request and writes the response. It writes nothing and returns
 // false if none could serve it.
 func (s *Server) relay(w http.ResponseWriter, r *http.Request, body []byte) bool {
--- a/api/server.go
+++ b/api/server.go
@@ -57,7 +57,7 @@
 // Routes registers the handlers of users' requests with a router.
 func (s *Server) Routes(r chi.Router) {
 	r.Post(wire.PathJobs, s.withRelay(s.serveSubmit))
-	r.Get(wire.PathJobs+"/{uid}", s.withRelay(s.serveQuery))
+	r.Get(wire.PathJobs+"/{uid}", withTimeout(queryTimeout, s.withRelay(s.serveQuery)))
 	r.Post(wire.PathJobs+"/{uid}/"+wire.SuffixCancel, s.withRelay(s.serveCancel))
 	r.Get(wire.PathHealth, s.serveHealth)
 }
--- a/api/status_reader.go
+++ b/api/status_reader.go
@@ -10,7 +10,8 @@
 	"cedardoor/store"
 )
 
-// statusReadTimeout limits the duration of one read, since users wait two seconds for a response.
+// statusReadTimeout limits the duration of one read, so that a query that waits for it can be relayed
+// within queryTimeout.
 const statusReadTimeout = 1200 * clock.Millisecond
 
 // statusReader answers many queries with few reads. It tracks the states of unfinished jobs' records
