Plan: capacity is reserved only where the starved job can ever fit

Symptom: a starved job of large tasks, or of tasks with accelerators, waits on behind a reservation on a machine that never has enough, while smaller tasks fill the machines that would.

Cause: the machine with the smallest share of cores and memory missing is reserved.

Change: plan.Machine knows its capacity; a machine is reserved, and stays so, only if the task fits on it once it is empty. Accelerators count in the shortfall. Test machines of the plan have capacity beyond what is free.

Evidence: TestReservationIsOnMachineThatFits failed before in all three cases (cores, memory, accelerators) and passes; tests of overload, starvation and constrained work pass.

--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -11,9 +11,11 @@
 	gocmp "github.com/google/go-cmp/cmp"
 )
 
-// newMachine returns a machine with the given free cores and memory that may be given tasks.
+// newMachine returns a machine with the given free cores and memory that may be given tasks. Other
+// tasks use the rest of its capacity.
 func newMachine(name, zone string, cores, ram float64) *Machine {
-	return &Machine{Name: name, Type: "b", Zone: zone, Free: Resources{Cores: cores, RAM: ram}, Usable: true, Images: map[string]ImageState{}}
+	return &Machine{Name: name, Type: "b", Zone: zone, Free: Resources{Cores: cores, RAM: ram}, Usable: true, Images: map[string]ImageState{},
+		Capacity: Resources{Cores: cores + 64, RAM: ram + 256, Accelerators: 8}}
 }
 
 // newJob returns a preemptible batch job of team t whose tasks need the given cores and memory.
@@ -73,7 +75,7 @@
 func planState(s *Snapshot, jobs ...*Job) (state []string) {
 	for _, machine := range s.Machines {
 		available := len(s.index.available[machine.index.kind][memoryLevel(machine.Free.RAM)].machines[coreClass(machine.Free.Cores)])
-		state = append(state, fmt.Sprint(machine.Name, machine.Free, machine.Stopping, machine.ReservedFor, machine.departures, available))
+		state = append(state, fmt.Sprint(machine.Name, machine.Capacity, machine.Free, machine.Stopping, machine.ReservedFor, machine.departures, available))
 		for _, victim := range machine.Victims {
 			state = append(state, fmt.Sprint(victim))
 		}
--- a/plan/snapshot.go
+++ b/plan/snapshot.go
@@ -20,6 +20,7 @@
 type Machine struct {
 	Name, Type, Zone string
 	Preemptible      bool
+	Capacity         Resources // free and used
 	Free             Resources
 	Stopping         Resources // capacity that stops in progress will free
 	Usable           bool      // reports, and may be given tasks
--- a/plan/starvation.go
+++ b/plan/starvation.go
@@ -90,7 +90,8 @@
 
 // reserve reserves a machine for a job that fits on none: otherwise smaller tasks would
 // take the capacity as it comes free, before there is enough for a large task. It keeps
-// an existing reservation, or else reserves the machine with the smallest shortfall.
+// an existing reservation, or else reserves the machine with the smallest shortfall. The task must
+// fit on the machine once that is empty.
 func (p *planner) reserve(job *Job) {
 	if len(p.result.Reservations) >= maxReservations {
 		return
@@ -98,7 +99,7 @@
 	// Sampled even if not needed, so that keeping a reservation does not change later random draws.
 	sample := p.sampled(p.index.machinesFor(job))
 	machine := p.index.byName[job.ReservedMachine]
-	if machine == nil || machine.ReservedFor != job.UID || !p.allowed(job, machine) {
+	if machine == nil || machine.ReservedFor != job.UID || !machine.Capacity.covers(&job.Resources) || !p.allowed(job, machine) {
 		if machine = p.smallestShortfall(job, sample); machine == nil {
 			return
 		}
@@ -121,10 +122,11 @@
 	var smallest float64
 	for _, machine := range machines {
 		p.result.Examined++
-		if machine.ReservedFor != "" || !p.allowed(job, machine) {
+		if machine.ReservedFor != "" || !machine.Capacity.covers(&job.Resources) || !p.allowed(job, machine) {
 			continue
 		}
-		shortfall := max(0, job.Cores-machine.Free.Cores)/max(job.Cores, epsilon) + max(0, job.RAM-machine.Free.RAM)/max(job.RAM, epsilon)
+		shortfall := lackingShare(job.Cores, machine.Free.Cores) + lackingShare(job.RAM, machine.Free.RAM) +
+			lackingShare(job.Accelerators, machine.Free.Accelerators)
 		if best == nil || shortfall < smallest {
 			best, smallest = machine, shortfall
 		}
@@ -132,6 +134,11 @@
 	return best
 }
 
+// lackingShare returns which share of a needed amount is not free.
+func lackingShare(needed, free float64) float64 {
+	return max(0, needed-free) / max(needed, epsilon)
+}
+
 // hasReservation reports whether a machine is reserved for a job.
 func (p *planner) hasReservation(job *Job) bool {
 	if machine := p.index.byName[job.ReservedMachine]; machine != nil && machine.ReservedFor == job.UID {
--- a/plan/starvation_test.go
+++ b/plan/starvation_test.go
@@ -96,3 +96,26 @@
 		t.Errorf("placed %v, want at least 12 urgent and 12 starved tasks, and j-9", placed)
 	}
 }
+
+// Guards against a job that waits for ever: capacity is reserved for a starved job only on a machine
+// that is large enough for its tasks once it is empty.
+func TestReservationIsOnMachineThatFits(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		small Resources // what the machine without tasks has in all
+		need  Resources
+	}{
+		{"too few cores", Resources{Cores: 4, RAM: 64}, Resources{Cores: 8, RAM: 8}},
+		{"too little memory", Resources{Cores: 8, RAM: 4}, Resources{Cores: 4, RAM: 8}},
+		{"no accelerators", Resources{Cores: 8, RAM: 64}, Resources{Cores: 1, RAM: 1, Accelerators: 1}},
+	} {
+		small, busy := newMachine("a", "x", 0, 0), newMachine("b", "x", 0, 0)
+		small.Free, small.Capacity = tt.small, tt.small
+		busy.Capacity = Resources{Cores: 8, RAM: 64, Accelerators: 2}
+		job := newJob("j-1", 1, 1, 1)
+		job.Resources, job.Starved = tt.need, true
+		if got := Make(newSnapshot([]*Machine{small, busy}, job)).Reservations; got["b"] != "j-1" {
+			t.Errorf("%s: reservations %v, want one on b", tt.name, got)
+		}
+	}
+}
--- a/planinput/input_test.go
+++ b/planinput/input_test.go
@@ -170,6 +170,9 @@
 	if !planned.Usable || planned.Free.Cores != 7 || len(planned.Victims) != 1 {
 		t.Errorf("usable %t with %v cores free and %d victims; want true, 7 and 1", planned.Usable, planned.Free.Cores, len(planned.Victims))
 	}
+	if want := (plan.Resources{Cores: 8, RAM: 32}); planned.Capacity != want {
+		t.Errorf("capacity %+v, want %+v", planned.Capacity, want)
+	}
 	allocation.Stopping, allocation.StopRequestedAt = true, clock.Second
 	if again := in.Refresh(machine, false, clock.Second); !again || planned.Stopping.Cores != 1 || len(planned.Victims) != 0 {
 		t.Errorf("to be refreshed again %t, %v cores stopping, %d victims; want true, 1 and none", again, planned.Stopping.Cores, len(planned.Victims))
--- a/planinput/machines.go
+++ b/planinput/machines.go
@@ -31,6 +31,7 @@
 		planned = &plan.Machine{Name: machine.Name, Images: map[string]plan.ImageState{}}
 	}
 	planned.Type, planned.Zone, planned.Preemptible = machine.Type, machine.Zone, machine.Preemptible
+	planned.Capacity = plan.Resources{Cores: machine.Cores, Accelerators: machine.Accelerators, RAM: machine.RAM}
 	planned.Free.Cores, planned.Free.Accelerators, planned.Free.RAM = machine.Free()
 	planned.Usable, planned.QuarantineReason, planned.Cordoned = machine.Usable(now), string(machine.QuarantineReason), machine.Cordoned
 	planned.ReservedFor = in.reservations[machine.Name]
