--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,5 +1,5 @@
-// Command 1 is the first case of the review: a job is cancelled while urgent jobs come and some of its tasks save
-// because they make room for these.
+// Command 1 is the first case of the review: an urgent array comes, tasks of another job save because they make room
+// for it, and that job is cancelled.
 package main
 
 import (
@@ -18,16 +18,18 @@
 	tasks   = 20               // of 8 CPUs: more than the eight machines of the start hold
 	saveS   = 60               // the time that a task needs to save
 	cancelS = 43 * time.Second // cancel_s of the site
-	runTime = 10 * time.Minute
-	length  = 75 * time.Second
-	step    = 200 * time.Millisecond
+
+	urgentTasks = 23 // "arrays of around 5, up to 23 tasks"
+	runTime     = 10 * time.Minute
+	length      = 75 * time.Second
+	step        = 200 * time.Millisecond
 )
 
 func main() {
 	os.Exit(rig.Run(rig.Karachi(), length, play))
 }
 
-// play lets a job fill the machines, lets urgent jobs come, cancels the job, and watches how long its tasks stay.
+// play lets a job fill the machines, lets an urgent array come, cancels the job, and watches how long its tasks stay.
 func play(ctx context.Context, c *rig.Cluster, trouble bool) (broken []string, err error) {
 	time.Sleep(time.Second)
 	spec := rig.Batch(uid, "kibble-match", "nutrition", "standard", tasks, 8, 21)
@@ -40,11 +42,9 @@
 	}
 	time.Sleep(time.Second)
 	if trouble {
-		c.Log.Add("case", "urgent jobs come several times as often")
-		for i := range 4 {
-			urgent := rig.Batch(fmt.Sprintf("j-%06d", 410+i), "diet-recheck", "nutrition", "high", 6, 4, 8.9)
-			c.Users.Submit(ctx, urgent, 20*time.Second)
-		}
+		c.Log.Add("case", "an urgent array comes")
+		urgent := rig.Batch("j-000410", "diet-recheck", "nutrition", "high", urgentTasks, 4, 8.9)
+		c.Users.Submit(ctx, urgent, 40*time.Second)
 	}
 	time.Sleep(3 * time.Second)
 	c.Users.Cancel(ctx, uid)
