Stops: a stop at once ends a task that is already saving

Cause: Fleet.Stop kept an attempt's first request and dropped all later ones, also one without a grace period; hintCancelled passed attempts by that were being stopped; and StopSent let only the first request out as a direct command.

The leader knew, sent and was obeyed; only the grace period was that of the first stop.

Change: a request with a shorter grace period replaces an earlier one and counts as not sent; one with the same or a longer one changes nothing. A hint passes by only what is being stopped at once. Why this is enough: every stop goes through Fleet.Stop, and every command, direct or in the response to a heartbeat, reads the request there.

The workers of these tests (standin.Worker) can save.

--- a/attempts.go
+++ b/attempts.go
@@ -303,9 +303,10 @@
 		for i := range job.Tasks {
 			task := &job.Tasks[i]
 			l.dropMoveTarget(task, now)
-			if allocation := task.Allocation; allocation != nil && !allocation.Stopping {
+			if allocation := task.Allocation; allocation != nil && !allocation.StoppingAtOnce() {
 				stopped = true
-				// Its further work is not needed, so it gets no time for a checkpoint.
+				// Its further work is not needed, so it gets no time for a checkpoint, even if it
+				// is writing one.
 				l.stop(job, allocation, 0, now)
 			}
 		}
--- a/fleet/allocation.go
+++ b/fleet/allocation.go
@@ -69,11 +69,19 @@
 	StopSent        bool    // the stop was sent in a direct command
 }
 
-// requestStop requests the end of the attempt.
-func (s *StopRequest) requestStop(grace float64, now clock.Micros) {
-	s.Stopping, s.StopRequestedAt, s.Grace = true, now, grace
+// requestStop requests the end of the attempt. A request with a shorter grace period replaces an
+// earlier one and has to be sent again; any other is ignored. It reports whether the request counts.
+func (s *StopRequest) requestStop(grace float64, now clock.Micros) bool {
+	if s.Stopping && grace >= s.Grace {
+		return false
+	}
+	*s = StopRequest{Stopping: true, StopRequestedAt: now, Grace: grace}
+	return true
 }
 
+// StoppingAtOnce reports whether the attempt is being stopped without a grace period.
+func (s *StopRequest) StoppingAtOnce() bool { return s.Stopping && s.Grace == 0 }
+
 // remainingGrace returns the rest of the grace period, in seconds.
 func (s *StopRequest) remainingGrace(now clock.Micros) float64 {
 	return max(0, s.Grace-(now-s.StopRequestedAt).Seconds())
--- a/fleet/reservations.go
+++ b/fleet/reservations.go
@@ -48,8 +48,9 @@
 	allocation.reservation.MarkRecorded()
 }
 
-// Stop requests the end of an attempt, with a grace period in seconds. An attempt
-// that was never sent is removed at once.
+// Stop requests the end of an attempt, with a grace period in seconds. It shortens
+// the grace period of an attempt that is being stopped already, and never extends
+// it. An attempt that was never sent is removed at once.
 func (f *Fleet) Stop(allocation *Allocation, grace float64, now clock.Micros) (gone bool) {
 	if allocation.Ended {
 		return false
@@ -58,8 +59,7 @@
 		f.Remove(allocation, now)
 		return true
 	}
-	if !allocation.Stopping {
-		allocation.requestStop(grace, now)
+	if allocation.requestStop(grace, now) {
 		allocation.reservation.MarkStopping()
 		allocation.Machine.unchanged = false
 		f.MachineChanged(allocation.Machine)
--- a/fleet/reservations_test.go
+++ b/fleet/reservations_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"cedardoor/quota"
+	"cedardoor/wire"
 )
 
 // An allocation, and with it a run, never exceeds a team's limit: an allocation is charged to
@@ -44,3 +45,32 @@
 		t.Errorf("all attempts are proved gone, but %+v is in use", got)
 	}
 }
+
+// Guards against a stop at once that is dropped because the attempt is already being stopped with a
+// grace period. A stop with a longer grace period than the first one changes nothing.
+func TestShorterGracePeriodReplacesLonger(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		second, want     float64
+		sentAgain, final bool
+	}{
+		{"longer", 90, 60, false, false},
+		{"the same", 60, 60, false, false},
+		{"shorter", 20, 20, true, false},
+		{"none", 0, 0, true, true},
+	} {
+		f, machine, allocation := newFleetWithAllocation(t)
+		f.Commands(machine, 1, true, AllCommands)
+		f.Report(2, heartbeat(1, 2, testToken, running), true)
+		f.Stop(allocation, 60, 3)
+		allocation.StopSent = true
+		f.Stop(allocation, tt.second, 3)
+		commands := f.Commands(machine, 3, true, AllCommands)
+		if onlyVerb(commands) != wire.VerbStop || *commands[0].GraceS != tt.want {
+			t.Errorf("%s: commands %v, want a stop with %v s", tt.name, commands, tt.want)
+		}
+		if allocation.StopSent == tt.sentAgain || allocation.StoppingAtOnce() != tt.final {
+			t.Errorf("%s: sent again %t, at once %t", tt.name, !allocation.StopSent, allocation.StoppingAtOnce())
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -30,13 +30,14 @@
 	holdCommand  bool // hold the next direct command
 	heldCommands []wire.CommandRequest
 	failAll      bool
-	failing      map[string]bool // jobs and tasks that fail when they start
+	failing      map[string]bool    // jobs and tasks that fail when they start
+	saveS        map[string]float64 // by job: seconds that its tasks need to save when they are stopped
 }
 
 // NewWorker returns a worker without tasks in its first incarnation.
 func NewWorker(host, endpoint, machineType, zone string, preemptible bool) *Worker {
 	return &Worker{Identity: wire.Heartbeat{Machine: host, Endpoint: endpoint, MachineType: machineType, Zone: zone, Preemptible: preemptible},
-		incarnation: 1, tasks: map[string]*wire.TaskReport{}}
+		incarnation: 1, tasks: map[string]*wire.TaskReport{}, saveS: map[string]float64{}}
 }
 
 // attemptKey returns the key of an attempt.
@@ -93,13 +94,63 @@
 			}
 			w.tasks[key] = report
 		case command.Verb == wire.VerbStop && task != nil && task.Status != wire.TaskEnded:
-			task.Status, task.Cause = wire.TaskEnded, wire.CauseStopped
+			w.stop(task, command.GraceS)
 		case command.Verb == wire.VerbForget && task != nil && task.Status == wire.TaskEnded:
 			delete(w.tasks, key)
 		}
 	}
 }
 
+// stop stops a task. If the grace period is long enough, the task begins to save; it does so until
+// FinishSaving is called or a further stop has no grace period. The caller holds mu.
+func (w *Worker) stop(task *wire.TaskReport, graceS *float64) {
+	grace := 0.0
+	if graceS != nil {
+		grace = *graceS
+	}
+	job, _, _ := strings.Cut(task.Task, "/")
+	saveS, saves := w.saveS[job]
+	switch {
+	case task.Status == wire.TaskRunning && saves && grace >= saveS:
+		task.Status = wire.TaskFlushing
+	case task.Status == wire.TaskFlushing && grace > 0:
+		// The task is already saving.
+	default:
+		task.Status, task.Cause = wire.TaskEnded, wire.CauseStopped
+	}
+}
+
+// SaveWhenStopped makes the tasks of a job save when they are stopped with a grace period of at
+// least the given number of seconds.
+func (w *Worker) SaveWhenStopped(uid string, seconds float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.saveS[uid] = seconds
+}
+
+// FinishSaving ends all tasks that are saving, with their progress saved.
+func (w *Worker) FinishSaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range w.tasks {
+		if task.Status == wire.TaskFlushing {
+			task.Status, task.Cause, task.Checkpointed = wire.TaskEnded, wire.CauseStopped, true
+		}
+	}
+}
+
+// TaskStatus returns the status of a task that has not ended, or an empty one.
+func (w *Worker) TaskStatus(name string) wire.TaskStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range w.tasks {
+		if task.Task == name && task.Status != wire.TaskEnded {
+			return task.Status
+		}
+	}
+	return ""
+}
+
 // EndTask ends a task for a cause.
 func (w *Worker) EndTask(name string, cause wire.Cause) {
 	w.mu.Lock()
