Stops: the grace period runs while the task saves, not from the request

Seen by callers: a task of a job that nobody cancelled, stopped to make room or to move, could exit without saving or be ended while it saved. Its work since the last checkpoint was repeated. Noticed by the review while reading; nobody has met it.

Cause: the grace period, stow_s and a second, ran from the leader's decision. A stop that reached the machine more than a second later carried less leeway than the task needs, which ends it at once. One that was held up and then executed let the task save, but the leader sent leeway 0 before the task had had its time; so it did after a hang while the task saved.

Change: the period begins when the machine reports that the task saves, and again after a silence of the machine. Until then each stop carries the whole period. The margin beyond stow_s is the longest silence that goes unnoticed (Fleet.SilenceTimeout, two report intervals), not a second. Why this works: a worker saves if the leeway is at least stow_s and leeway above 0 does not end a task that saves, so repeating the whole period is harmless. A cancellation still replaces the request at once.

Tests: TestLateStopLeavesTimeToSave (8 cases on a fake clock) and TestGracePeriodRunsWhileTaskSaves.

--- a/attempts.go
+++ b/attempts.go
@@ -19,8 +19,6 @@
 	maxBackoff = 60 * clock.Second
 	// maxBackoffDoublings is how often the backoff doubles before it reaches the cap.
 	maxBackoffDoublings = 6
-	// graceMarginS is the grace period beyond the time for a checkpoint, in seconds.
-	graceMarginS = 1
 	// minRunTimes is how many run times a job must have before others are compared with their mean.
 	minRunTimes = 3
 	// causeGone is the logged cause of an attempt that is gone without a result.
@@ -241,11 +239,12 @@
 	}
 }
 
-// stopAttempt stops an attempt, with a grace period for a checkpoint if it writes any.
+// stopAttempt stops an attempt, with a grace period for a checkpoint if it writes any. The period
+// allows for an interruption of the machine that is too short to be noticed.
 func (l *leader) stopAttempt(job *jobs.Job, allocation *fleet.Allocation, now clock.Micros) {
 	grace := 0.0
 	if allocation.Checkpoints {
-		grace = allocation.CheckpointGrace + graceMarginS
+		grace = allocation.CheckpointGrace + l.fleet.SilenceTimeout().Seconds()
 	}
 	l.stop(job, allocation, grace, now)
 }
--- a/fleet/allocation.go
+++ b/fleet/allocation.go
@@ -65,8 +65,10 @@
 type StopRequest struct {
 	Stopping        bool
 	StopRequestedAt clock.Micros
-	Grace           float64 // seconds from the request
+	Grace           float64 // seconds that the task has to save a checkpoint
 	StopSent        bool    // the stop was sent in a direct command
+
+	savingSince clock.Micros // since when the task is known to save without interruption; zero if it is not
 }
 
 // requestStop requests the end of the attempt. A request with a shorter grace period replaces an
@@ -75,16 +77,29 @@
 	if s.Stopping && grace >= s.Grace {
 		return false
 	}
-	*s = StopRequest{Stopping: true, StopRequestedAt: now, Grace: grace}
+	s.Stopping, s.StopRequestedAt, s.Grace, s.StopSent = true, now, grace, false
 	return true
 }
 
 // StoppingAtOnce reports whether the attempt is being stopped without a grace period.
 func (s *StopRequest) StoppingAtOnce() bool { return s.Stopping && s.Grace == 0 }
 
-// remainingGrace returns the rest of the grace period, in seconds.
+// reportedSaving records a report that the task saves a checkpoint. After a silence of the machine
+// the time to save begins again, since a machine that hangs does not save.
+func (s *StopRequest) reportedSaving(afterSilence bool, now clock.Micros) {
+	if s.savingSince == 0 || afterSilence {
+		s.savingSince = now
+	}
+}
+
+// remainingGrace returns the rest of the grace period, in seconds. The period begins when the task
+// is known to save, since the command to stop it may arrive long after the request.
 func (s *StopRequest) remainingGrace(now clock.Micros) float64 {
-	return max(0, s.Grace-(now-s.StopRequestedAt).Seconds())
+	if s.savingSince == 0 {
+		return s.Grace
+	}
+	began := max(s.savingSince, s.StopRequestedAt)
+	return max(0, s.Grace-(now-began).Seconds())
 }
 
 // runDelivery tracks the commands that may still start the attempt.
--- a/fleet/liveness.go
+++ b/fleet/liveness.go
@@ -14,6 +14,10 @@
 // to find a new leader.
 const rediscoverySlack = 2 * clock.Second
 
+// SilenceTimeout returns how long a machine may send no heartbeat before it counts as
+// having been silent.
+func (f *Fleet) SilenceTimeout() clock.Micros { return suspectReports * f.reportInterval }
+
 // RediscoveryTimeout returns how long after the start of a term a machine that a
 // predecessor recorded may be silent, since its worker has yet to find the new
 // leader.
@@ -43,7 +47,7 @@
 // heartbeatReceived handles the arrival of a heartbeat, and trusts the machine if
 // the heartbeat proves that it is up.
 func (f *Fleet) heartbeatReceived(machine *Machine, now clock.Micros) {
-	if machine.Reported && now-machine.LastHeartbeat > suspectReports*f.reportInterval && !machine.Suspect {
+	if machine.Reported && now-machine.LastHeartbeat > f.SilenceTimeout() && !machine.Suspect {
 		machine.Suspect = true
 		f.MachineChanged(machine)
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -111,7 +111,7 @@
 	// the responses did not arrive. This sign alone does not tell which, so one more is
 	// needed.
 	if machine.Reported && !machine.Suspect && r.viaHeartbeat && machine.Incarnation > 0 &&
-		r.now-machine.LastHeartbeat < suspectReports*r.fleet.reportInterval {
+		r.now-machine.LastHeartbeat < r.fleet.SilenceTimeout() {
 		machine.Unacknowledged = max(machine.Unacknowledged, maxUnacknowledged-1)
 	}
 	r.endEarlierIncarnations()
@@ -179,8 +179,11 @@
 	if allocation.Status == "" && allocation.firstSentAt > 0 {
 		r.fleet.Acknowledged(r.machine)
 	}
-	if task.Status == wire.TaskFlushing && allocation.Status != task.Status {
-		r.fleet.MachineChanged(r.machine)
+	if task.Status == wire.TaskFlushing {
+		allocation.reportedSaving(r.machine.Suspect, r.now)
+		if allocation.Status != task.Status {
+			r.fleet.MachineChanged(r.machine)
+		}
 	}
 	allocation.Status = task.Status
 	if task.Status != wire.TaskEnded {
--- a/fleet/reservations_test.go
+++ b/fleet/reservations_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"cedardoor/clock"
 	"cedardoor/quota"
 	"cedardoor/wire"
 )
@@ -74,3 +75,36 @@
 		}
 	}
 }
+
+// Guards against a grace period that runs while the task can't save: before the stop has reached its
+// machine, and while the machine is silent. It ends once the task has had its time.
+func TestGracePeriodRunsWhileTaskSaves(t *testing.T) {
+	const grace = 60 * clock.Second
+	saving := running
+	saving.Status = wire.TaskFlushing
+	f, machine, allocation := newFleetWithAllocation(t)
+	f.Commands(machine, 1, true, AllCommands)
+	sequence := uint64(1)
+	checkGrace := func(at clock.Micros, task wire.TaskReport, want clock.Micros) {
+		t.Helper()
+		sequence++
+		f.Report(at, heartbeat(1, sequence, testToken, task), true)
+		commands := f.Commands(machine, at, true, AllCommands)
+		if onlyVerb(commands) != wire.VerbStop || *commands[0].GraceS != want.Seconds() {
+			t.Errorf("%v: commands %v, want a stop with %v", at, commands, want)
+		}
+	}
+	f.Report(2, heartbeat(1, sequence, testToken, running), true)
+	f.Stop(allocation, grace.Seconds(), 2)
+	checkGrace(4*clock.Second, running, grace)
+	checkGrace(8*clock.Second, running, grace) // after lost commands
+	checkGrace(12*clock.Second, saving, grace)
+	checkGrace(15*clock.Second, saving, grace-3*clock.Second)
+	checkGrace(35*clock.Second, saving, grace) // after a silence
+	f.ProbeAnswered(36*clock.Second, machine.ReportVersion(), heartbeat(1, 100, testToken, saving))
+	sequence = 100
+	for at := 39 * clock.Second; at < 36*clock.Second+grace; at += testReportInterval {
+		checkGrace(at, saving, 36*clock.Second+grace-at)
+	}
+	checkGrace(36*clock.Second+grace, saving, 0)
+}
--- a/graceful_stop_test.go
+++ b/graceful_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"cedardoor/clock"
 	"cedardoor/internal/standin"
@@ -209,3 +210,75 @@
 		<-s.leader.wakeups
 	}
 }
+
+// reportFor makes both workers report every three seconds for the given time.
+func (s *savingCluster) reportFor(d time.Duration) {
+	for ; d > 0; d -= 3 * time.Second {
+		s.reportAndSettle(s.leader, s.worker, s.other)
+		s.advance(3 * time.Second)
+	}
+}
+
+// Guards against tasks that lose their progress, because the command to stop them arrives late and
+// their grace period has run since it was requested.
+func TestLateStopLeavesTimeToSave(t *testing.T) {
+	stop := gracefulStops["preemption"].stop
+	for name, meeting := range map[string]func(s *savingCluster){
+		"on time": func(s *savingCluster) { s.stopBoth(stop) },
+		"direct command lost": func(s *savingCluster) {
+			s.worker.HoldNextCommand()
+			s.stopBoth(stop)
+			s.advance(3 * time.Second)
+		},
+		"direct command late": func(s *savingCluster) {
+			s.worker.HoldNextCommand()
+			s.stopBoth(stop)
+			s.advance(12 * time.Second)
+			s.worker.DeliverHeldCommands()
+		},
+		"machine silent": func(s *savingCluster) {
+			s.worker.SetUnreachable(true)
+			s.stopBoth(stop)
+			s.advance(12 * time.Second)
+			s.worker.SetUnreachable(false)
+		},
+		"next leader, machine silent": func(s *savingCluster) {
+			s.failOver()
+			s.worker.SetUnreachable(true)
+			s.stopBoth(stop)
+			s.advance(12 * time.Second)
+			s.worker.SetUnreachable(false)
+		},
+		"next leader stops it again": func(s *savingCluster) {
+			s.stopBoth(stop)
+			s.advance(12 * time.Second)
+			s.failOver()
+			s.reportAndSettle(s.leader, s.worker)
+			s.stopBoth(stop)
+		},
+		"silent while it saves": func(s *savingCluster) {
+			s.stopBoth(stop)
+			s.advance(15 * time.Second)
+		},
+		"hangs for less than two reports while it saves": func(s *savingCluster) {
+			s.stopBoth(stop)
+			s.reportFor(6 * time.Second)
+			s.reportAndSettle(s.leader, s.worker, s.other)
+			s.advance(5 * time.Second)
+			s.reportFor(saveS*time.Second - 6*time.Second)
+			s.worker.FinishSaving()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSavingCluster(t, wire.KindBatch)
+			meeting(s)
+			s.reportFor(saveS * time.Second)
+			s.worker.FinishSaving()
+			for _, task := range []string{"j-1/0", "j-2/0"} {
+				if !s.worker.Saved(task) {
+					t.Errorf("%s was stopped without its time to save", task)
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,12 +32,13 @@
 	failAll      bool
 	failing      map[string]bool    // jobs and tasks that fail when they start
 	saveS        map[string]float64 // by job: seconds that its tasks need to save when they are stopped
+	saved        map[string]bool    // tasks that were saved when they were stopped
 }
 
 // NewWorker returns a worker without tasks in its first incarnation.
 func NewWorker(host, endpoint, machineType, zone string, preemptible bool) *Worker {
 	return &Worker{Identity: wire.Heartbeat{Machine: host, Endpoint: endpoint, MachineType: machineType, Zone: zone, Preemptible: preemptible},
-		incarnation: 1, tasks: map[string]*wire.TaskReport{}, saveS: map[string]float64{}}
+		incarnation: 1, tasks: map[string]*wire.TaskReport{}, saveS: map[string]float64{}, saved: map[string]bool{}}
 }
 
 // attemptKey returns the key of an attempt.
@@ -135,10 +136,18 @@
 	for _, task := range w.tasks {
 		if task.Status == wire.TaskFlushing {
 			task.Status, task.Cause, task.Checkpointed = wire.TaskEnded, wire.CauseStopped, true
+			w.saved[task.Task] = true
 		}
 	}
 }
 
+// Saved reports whether a task was saved when it was stopped.
+func (w *Worker) Saved(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.saved[task]
+}
+
 // TaskStatus returns the status of a task that has not ended, or an empty one.
 func (w *Worker) TaskStatus(name string) wire.TaskStatus {
 	w.mu.Lock()
