Random schedules with tasks that save for long; the period restarts after any silence

Cause: no stand-in's tasks saved for longer than 5 s, so neither a cancelled task that goes on saving nor one that loses its time to save could be seen by the random schedules.

Events of machines tell the status before the end and whether progress was saved.

Each report is now measured against the last proof that the machine was up.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -53,7 +53,8 @@
 	}
 	f.Examined++
 	f.Describe(machine, describe(report))
-	update := reportUpdate{fleet: f, machine: machine, report: report, viaHeartbeat: viaHeartbeat, now: now}
+	update := reportUpdate{fleet: f, machine: machine, report: report, viaHeartbeat: viaHeartbeat, now: now,
+		afterSilence: now-machine.LastHeartbeat > f.SilenceTimeout()}
 	update.applyIncarnation()
 	update.applyToken()
 	update.applyPreemptionNotice()
@@ -82,6 +83,7 @@
 	report       *wire.Heartbeat
 	viaHeartbeat bool
 	now          clock.Micros
+	afterSilence bool // no heartbeat proved for SilenceTimeout that the machine was up
 
 	unacknowledged bool // something sent to the machine has not taken effect
 	events         []Event
@@ -180,7 +182,7 @@
 		r.fleet.Acknowledged(r.machine)
 	}
 	if task.Status == wire.TaskFlushing {
-		allocation.reportedSaving(r.machine.Suspect, r.now)
+		allocation.reportedSaving(r.afterSilence, r.now)
 		if allocation.Status != task.Status {
 			r.fleet.MachineChanged(r.machine)
 		}
--- a/fleet/reservations_test.go
+++ b/fleet/reservations_test.go
@@ -101,10 +101,15 @@
 	checkGrace(12*clock.Second, saving, grace)
 	checkGrace(15*clock.Second, saving, grace-3*clock.Second)
 	checkGrace(35*clock.Second, saving, grace) // after a silence
-	f.ProbeAnswered(36*clock.Second, machine.ReportVersion(), heartbeat(1, 100, testToken, saving))
-	sequence = 100
-	for at := 39 * clock.Second; at < 36*clock.Second+grace; at += testReportInterval {
-		checkGrace(at, saving, 36*clock.Second+grace-at)
+	answerProbe := func(at clock.Micros) {
+		sequence++
+		f.ProbeAnswered(at, machine.ReportVersion(), heartbeat(1, sequence, testToken, saving))
+	}
+	answerProbe(36 * clock.Second)
+	checkGrace(39*clock.Second, saving, grace-3*clock.Second)
+	answerProbe(60 * clock.Second) // after a silence, before the first heartbeat
+	for at := 60*clock.Second + testReportInterval; at < 60*clock.Second+grace; at += testReportInterval {
+		checkGrace(at, saving, 60*clock.Second+grace-at)
 	}
-	checkGrace(36*clock.Second+grace, saving, 0)
+	checkGrace(60*clock.Second+grace, saving, 0)
 }
--- a/harness_checks_test.go
+++ b/harness_checks_test.go
@@ -92,6 +92,7 @@
 	s.state.Value(store.KeyToken, &record)
 	token, _ := leader.elector.HoldsLease()
 	text += fmt.Sprintf("token %d, recorded token %d; ", token, record.Token)
+	text += fmt.Sprintf("reserved %v;", leader.planInput.Reservations())
 	for _, machine := range leader.fleet.Machines() {
 		text += fmt.Sprintf("\n%s %s %s cores %v quarantined %q cordoned %v usable %v sequence %d token %d unacknowledged %d;", machine.Name, machine.Type, machine.Zone,
 			machine.UsedCores, machine.QuarantineReason, machine.Cordoned, machine.Usable(leader.clock.Now()), machine.Sequence, machine.Token, machine.Unacknowledged)
--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -33,15 +33,26 @@
 	Kind    EventKind
 	Task    string
 	Attempt uint64
-	Verb    wire.Verb  // of EventCommand
-	Live    bool       // of EventCommand: the machine has the attempt, which has not ended
-	Cause   wire.Cause // of EventEnded
+	Verb    wire.Verb       // of EventCommand
+	Live    bool            // of EventCommand: the machine has the attempt, which has not ended
+	Cause   wire.Cause      // of EventEnded
+	Status  wire.TaskStatus // of EventEnded: the status before
+	Saved   bool            // of EventEnded: the progress was saved when the task was stopped
 }
 
-// emitTaskEvent emits an event of a task. The caller holds mu.
-func (m *Machine) emitTaskEvent(kind EventKind, t *task, cause wire.Cause) {
+// emitStarted emits the event of a task that starts to run. The caller holds mu.
+func (m *Machine) emitStarted(t *task) {
 	if m.OnEvent != nil {
-		m.OnEvent(Event{At: time.Now(), Machine: m.Info.UID, Kind: kind, Task: t.Task, Attempt: t.Attempt, Cause: cause})
+		m.OnEvent(Event{At: time.Now(), Machine: m.Info.UID, Kind: EventStarted, Task: t.Task, Attempt: t.Attempt})
+	}
+}
+
+// emitEnded emits the event of a task that ends; its status is still that before the end. The caller
+// holds mu.
+func (m *Machine) emitEnded(t *task, cause wire.Cause) {
+	if m.OnEvent != nil {
+		m.OnEvent(Event{At: time.Now(), Machine: m.Info.UID, Kind: EventEnded, Task: t.Task, Attempt: t.Attempt, Cause: cause,
+			Status: t.Status, Saved: t.Checkpointed})
 	}
 }
 
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -172,7 +172,7 @@
 		}
 		t.due = now.Add(m.Observer.RunTime(t.Task))
 		m.reports.changed = true
-		m.emitTaskEvent(EventStarted, t, "")
+		m.emitStarted(t)
 		started = true
 	}
 	if t.Status == wire.TaskRunning && t.spec.Kind == wire.KindBatch && !now.Before(t.due) {
@@ -184,9 +184,9 @@
 
 // endTask ends a task and marks the change for a report. The caller holds mu.
 func (m *Machine) endTask(t *task, cause wire.Cause) {
+	m.emitEnded(t, cause)
 	t.Status, t.Cause = wire.TaskEnded, cause
 	m.reports.changed = true
-	m.emitTaskEvent(EventEnded, t, cause)
 }
 
 // RunningTasks returns the tasks that run on the machine. Their images have been fetched.
--- a/internal/standin/machine_report.go
+++ b/internal/standin/machine_report.go
@@ -128,7 +128,7 @@
 	for _, t := range m.tasks {
 		lost := t.reportedAt.IsZero() || m.leaseStart.Sub(t.reportedAt) < maxRecordTime
 		if t.live() || lost && cause != CauseMachineRemoved { // results on a returned machine have been recorded
-			m.emitTaskEvent(EventEnded, t, cause)
+			m.emitEnded(t, cause)
 		}
 	}
 	m.tasks = nil
--- a/random_schedules_test.go
+++ b/random_schedules_test.go
@@ -15,6 +15,7 @@
 	furtherFaultsCount = flag.Uint64("schedules.further", 100, "number of random schedules with further kinds of faults to run")
 	heldCount          = flag.Uint64("schedules.held", 40, "number of random schedules with held messages to run")
 	oneWayCount        = flag.Uint64("schedules.oneway", 30, "number of random schedules with messages held in one direction to run")
+	savingCount        = flag.Uint64("schedules.saving", 40, "number of random schedules with tasks that save for long to run")
 	firstSeed          = flag.Uint64("schedules.seed", 0, "seed of the first random schedule")
 )
 
@@ -37,6 +38,12 @@
 	runRandomSchedules(t, *oneWayCount, randomOneWaySchedule)
 }
 
+// Like TestRandomSchedulesWithFurtherFaults, with few machines and tasks that save for long. Tasks of
+// cancelled jobs must be gone in time, and others must get their time to save.
+func TestRandomSchedulesWithLongSaves(t *testing.T) {
+	runRandomSchedules(t, *savingCount, randomSavingSchedule)
+}
+
 // runRandomSchedules runs the schedules of the given number of seeds in parallel.
 func runRandomSchedules(t *testing.T, seeds uint64, newSchedule func(seed uint64) faultSchedule) {
 	for seed := *firstSeed; seed < *firstSeed+seeds; seed++ {
