Random schedules: what a full cloud and a task that saves allow

Cause: with few machines and long saves (TestRandomSchedulesWithLongSaves) the check for tasks that stay unplaced was stricter than what it says, in two ways, each shown by a trace.

"How long a same-zone or spread job may go without a start although the cloud could rent a machine for it" (80 s) counted the time in which the cloud was full. The wait counts from the time since when the cloud could rent. Free capacity beside a task that saves counted as room after 5 s. "To make room for a job of higher priority, a task may be stopped", and it has its time to save. Machines on which a task saves have no room for the check.

--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -220,6 +221,13 @@
 	return !m.condition.removed && m.ctx != nil && cores <= m.Type.Cores && ram <= m.Type.RAM
 }
 
+// IsSaving reports whether a task on the machine saves.
+func (m *Machine) IsSaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.tasks, func(t *task) bool { return t.Status == wire.TaskFlushing })
+}
+
 // bootedBy reports whether the machine had booted by the given time.
 func (m *Machine) bootedBy(at time.Time) bool {
 	m.mu.Lock()
--- a/internal/standin/simulated_cloud.go
+++ b/internal/standin/simulated_cloud.go
@@ -55,6 +55,21 @@
 	c.history = append(c.history, listing{time.Now(), slices.Clone(c.machines)})
 }
 
+// CapacitySince returns since when the cloud could have rented a further machine, or the current time
+// if it can't.
+func (c *SimulatedCloud) CapacitySince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := time.Now()
+	for _, listing := range slices.Backward(c.history) {
+		if len(listing.machines) >= c.MaxMachines {
+			return since
+		}
+		since = listing.from
+	}
+	return time.Time{}
+}
+
 // Reclaim removes a spot machine and everything on it.
 func (c *SimulatedCloud) Reclaim(m *Machine) {
 	c.mu.Lock()
