Planner: no capacity is reserved where only replicas would have to leave

Seen by callers: a starved job, also a critical one, waits for as long as a service lives, and smaller tasks wait beside free capacity. Found by TestRandomSchedulesWithLongSaves; independent of saving.

Cause: reserve took a machine as large enough by its whole capacity, as if it emptied. Replicas don't end by themselves.

Tests: TestReservationIsOnMachineThatFits (two new cases, both failed before), TestRefreshCountsReplicas.

--- a/plan/snapshot.go
+++ b/plan/snapshot.go
@@ -22,6 +22,7 @@
 	Preemptible      bool
 	Capacity         Resources // free and used
 	Free             Resources
+	Replicas         Resources // used by replicas that are to remain; they do not end by themselves
 	Stopping         Resources // capacity that stops in progress will free
 	Usable           bool      // reports, and may be given tasks
 	QuarantineReason string    // why its tasks are to be moved away; empty if not quarantined
@@ -41,6 +42,14 @@
 // available reports whether the machine may be given any tasks.
 func (m *Machine) available() bool { return m.Usable && m.QuarantineReason == "" && !m.Cordoned }
 
+// canHold reports whether the resources fit on the machine once its other tasks have ended. Replicas
+// do not end by themselves.
+func (m *Machine) canHold(resources *Resources) bool {
+	remaining := m.Capacity
+	remaining.subtract(m.Replicas)
+	return remaining.covers(resources)
+}
+
 // holds reports whether the machine has the complete image.
 func (m *Machine) holds(image string) bool { return m.Images[image] == ImageHeld }
 
--- a/plan/starvation.go
+++ b/plan/starvation.go
@@ -91,7 +91,7 @@
 // reserve reserves a machine for a job that fits on none: otherwise smaller tasks would
 // take the capacity as it comes free, before there is enough for a large task. It keeps
 // an existing reservation, or else reserves the machine with the smallest shortfall. The task must
-// fit on the machine once that is empty.
+// fit on the machine once only replicas remain there.
 func (p *planner) reserve(job *Job) {
 	if len(p.result.Reservations) >= maxReservations {
 		return
@@ -99,7 +99,7 @@
 	// Sampled even if not needed, so that keeping a reservation does not change later random draws.
 	sample := p.sampled(p.index.machinesFor(job))
 	machine := p.index.byName[job.ReservedMachine]
-	if machine == nil || machine.ReservedFor != job.UID || !machine.Capacity.covers(&job.Resources) || !p.allowed(job, machine) {
+	if machine == nil || machine.ReservedFor != job.UID || !machine.canHold(&job.Resources) || !p.allowed(job, machine) {
 		if machine = p.smallestShortfall(job, sample); machine == nil {
 			return
 		}
@@ -122,7 +122,7 @@
 	var smallest float64
 	for _, machine := range machines {
 		p.result.Examined++
-		if machine.ReservedFor != "" || !machine.Capacity.covers(&job.Resources) || !p.allowed(job, machine) {
+		if machine.ReservedFor != "" || !machine.canHold(&job.Resources) || !p.allowed(job, machine) {
 			continue
 		}
 		shortfall := lackingShare(job.Cores, machine.Free.Cores) + lackingShare(job.RAM, machine.Free.RAM) +
--- a/plan/starvation_test.go
+++ b/plan/starvation_test.go
@@ -98,19 +98,23 @@
 }
 
 // Guards against a job that waits for ever: capacity is reserved for a starved job only on a machine
-// that is large enough for its tasks once it is empty.
+// that is large enough for its tasks once only replicas remain there.
 func TestReservationIsOnMachineThatFits(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		small Resources // what the machine without tasks has in all
+		small Resources // what the machine with the smallest shortfall has in all
+		used  Resources // what replicas use of that
 		need  Resources
 	}{
-		{"too few cores", Resources{Cores: 4, RAM: 64}, Resources{Cores: 8, RAM: 8}},
-		{"too little memory", Resources{Cores: 8, RAM: 4}, Resources{Cores: 4, RAM: 8}},
-		{"no accelerators", Resources{Cores: 8, RAM: 64}, Resources{Cores: 1, RAM: 1, Accelerators: 1}},
+		{"too few cores", Resources{Cores: 4, RAM: 64}, Resources{}, Resources{Cores: 8, RAM: 8}},
+		{"too little memory", Resources{Cores: 8, RAM: 4}, Resources{}, Resources{Cores: 4, RAM: 8}},
+		{"no accelerators", Resources{Cores: 8, RAM: 64}, Resources{}, Resources{Cores: 1, RAM: 1, Accelerators: 1}},
+		{"too few cores beside replicas", Resources{Cores: 8, RAM: 64}, Resources{Cores: 6, RAM: 4}, Resources{Cores: 3, RAM: 8}},
+		{"too little memory beside replicas", Resources{Cores: 8, RAM: 64}, Resources{Cores: 1, RAM: 60}, Resources{Cores: 3, RAM: 8}},
 	} {
 		small, busy := newMachine("a", "x", 0, 0), newMachine("b", "x", 0, 0)
-		small.Free, small.Capacity = tt.small, tt.small
+		small.Capacity, small.Replicas = tt.small, tt.used
+		small.Free = Resources{Cores: tt.small.Cores - tt.used.Cores, RAM: tt.small.RAM - tt.used.RAM}
 		busy.Capacity = Resources{Cores: 8, RAM: 64, Accelerators: 2}
 		job := newJob("j-1", 1, 1, 1)
 		job.Resources, job.Starved = tt.need, true
--- a/planinput/input_test.go
+++ b/planinput/input_test.go
@@ -151,6 +151,30 @@
 	}
 }
 
+// Refresh updates what replicas use that are not being stopped.
+func TestRefreshCountsReplicas(t *testing.T) {
+	in, table := newInput(t)
+	service := addJob(table, "j-1", func(spec *wire.Spec) { spec.Kind, spec.Tasks, spec.Cores, spec.RAM = wire.KindService, 2, 2, 3 })
+	batch := addJob(table, "j-2", func(*wire.Spec) {})
+	in.Fleet.Report(0, &wire.Heartbeat{Machine: "n-1", Endpoint: "e", MachineType: "m", Zone: "x", Incarnation: 1, Sequence: 1, Token: firstToken}, true)
+	machine := in.Fleet.Machine("n-1")
+	first, second := service.NewAllocation(0, 1), service.NewAllocation(1, 1)
+	for _, allocation := range []*fleet.Allocation{first, second, batch.NewAllocation(0, 1)} {
+		if err := in.Fleet.Reserve(machine, allocation, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	in.Refresh(machine, false, clock.Second)
+	if got, want := in.snapshot.Machine("n-1").Replicas, (plan.Resources{Cores: 4, RAM: 6}); got != want {
+		t.Errorf("two replicas use %+v, want %+v", got, want)
+	}
+	second.Stopping = true
+	in.Refresh(machine, false, clock.Second)
+	if got, want := in.snapshot.Machine("n-1").Replicas, (plan.Resources{Cores: 2, RAM: 3}); got != want {
+		t.Errorf("one of two replicas is being stopped: %+v, want %+v", got, want)
+	}
+}
+
 // TestRefresh checks that Refresh updates a machine's free capacity, the capacity that stops will
 // free, and its victims.
 func TestRefresh(t *testing.T) {
--- a/planinput/machines.go
+++ b/planinput/machines.go
@@ -60,10 +60,10 @@
 	}
 }
 
-// refreshTasks updates the victims on a machine, the tasks that are being stopped and the capacity that
-// recent stops will free. It reports whether there are recent stops.
+// refreshTasks updates the victims and replicas on a machine, the tasks that are being stopped and the
+// capacity that recent stops will free. It reports whether there are recent stops.
 func (in *Input) refreshTasks(planned *plan.Machine, machine *fleet.Machine, now clock.Micros) (stopping bool) {
-	planned.Stopping = plan.Resources{}
+	planned.Stopping, planned.Replicas = plan.Resources{}, plan.Resources{}
 	planned.Victims = planned.Victims[:0]
 	clear(planned.Departing)
 	guarantees := in.Quota.HasGuarantees()
@@ -76,20 +76,38 @@
 		case allocation.Stopping:
 			if now-allocation.StopRequestedAt <= stopGrace {
 				stopping = true
-				planned.Stopping.Cores += allocation.Cores
-				planned.Stopping.Accelerators += allocation.Accelerators
-				planned.Stopping.RAM += allocation.RAM
+				addUsage(&planned.Stopping, allocation)
 			}
 		default:
-			if job := jobs.Of(allocation); job != nil && mayPreempt(job, allocation, guarantees) {
-				planned.Victims = append(planned.Victims, newVictim(job, allocation))
-			}
+			addRemaining(planned, allocation, guarantees)
 		}
 	})
 	slices.SortStableFunc(planned.Victims, comparePreemptionCost)
 	return stopping
 }
 
+// addUsage adds the resources that an attempt uses.
+func addUsage(total *plan.Resources, allocation *fleet.Allocation) {
+	total.Cores += allocation.Cores
+	total.Accelerators += allocation.Accelerators
+	total.RAM += allocation.RAM
+}
+
+// addRemaining adds a task that is not being stopped: to the replicas if it is one, and to the victims
+// if it may be preempted.
+func addRemaining(planned *plan.Machine, allocation *fleet.Allocation, guarantees bool) {
+	job := jobs.Of(allocation)
+	if job == nil {
+		return
+	}
+	if job.IsService() {
+		addUsage(&planned.Replicas, allocation)
+	}
+	if mayPreempt(job, allocation, guarantees) {
+		planned.Victims = append(planned.Victims, newVictim(job, allocation))
+	}
+}
+
 // addDeparting counts a task that is being stopped.
 func addDeparting(planned *plan.Machine, allocation *fleet.Allocation) {
 	job := jobs.Of(allocation)
