Stops: tasks that save within their grace period are sent nothing

Seen by callers: with 600 or more tasks saving on one machine, a cancelled task that was reserved later would go on until they have saved, beyond cancel_s. No known machine holds that many tasks; shown by a test.

Cause: each message repeated the stop of every task that was saving, in the order of the reservations, and a message carries 600 commands.

Change: a task that is reported as saving needs a stop only once its grace period is over or has been ended. A worker that has reported a task as saving has executed a stop, so nothing is lost by not repeating it.

Tests: TestSavingTasksDoNotDelayOtherStops failed before with and without the leader's lease.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -47,7 +47,7 @@
 		case allocation.Ended:
 			commands = allocation.appendEndCommand(commands)
 		case allocation.Stopping:
-			if allocation.reportedLive() {
+			if allocation.awaitsStop(now) {
 				commands = append(commands, allocation.stopCommand(now))
 			}
 		case scope == AllCommands && allocation.awaitsRun(viaHeartbeat):
@@ -62,12 +62,12 @@
 	return append(commands, runs...)
 }
 
-// appendStops appends the stops of attempts that the machine reports.
+// appendStops appends the stops that attempts on the machine await.
 func (f *Fleet) appendStops(commands []wire.Command, machine *Machine, now clock.Micros) []wire.Command {
 	for _, allocation := range machine.allocations {
 		f.Examined++
 		current := allocation.Live() && allocation.Incarnation == machine.Incarnation
-		if allocation.Stopping && current && allocation.reportedLive() && len(commands) < maxCommands {
+		if allocation.Stopping && current && allocation.awaitsStop(now) && len(commands) < maxCommands {
 			commands = append(commands, allocation.stopCommand(now))
 		}
 	}
@@ -111,6 +111,13 @@
 		(viaHeartbeat || !a.HeartbeatOnly || a.Machine.Restarted())
 }
 
+// awaitsStop reports whether an attempt that is being stopped is to be sent a stop: it is reported, and
+// does not save within its grace period.
+func (a *Allocation) awaitsStop(now clock.Micros) bool {
+	saves := a.Status == wire.TaskFlushing && a.remainingGrace(now) > 0
+	return a.reportedLive() && !saves
+}
+
 // stopCommand returns a stop of the attempt with its remaining grace period.
 func (a *Allocation) stopCommand(now clock.Micros) wire.Command {
 	return a.key().stopCommand(a.remainingGrace(now))
--- a/fleet/commands_test.go
+++ b/fleet/commands_test.go
@@ -67,3 +67,30 @@
 		t.Errorf("commands %v, ended %t", commands, allocation.Ended)
 	}
 }
+
+// Guards against tasks that save and keep others on the machine from being stopped: the stop of a
+// cancelled task must not wait until hundreds of others have saved.
+func TestSavingTasksDoNotDelayOtherStops(t *testing.T) {
+	f, machine, _ := newFleetWithAllocation(t)
+	report := heartbeat(1, 2, testToken, running)
+	for i := range maxCommands {
+		allocation := reserveDurable(t, f, machine, newAllocation(TaskID{Job: "j-2", Index: i}, 1, 0.001), 2)
+		allocation.markSent(2)
+		report.Tasks = append(report.Tasks, wire.TaskReport{Task: allocation.Task.String(), Attempt: 1, Status: wire.TaskFlushing})
+	}
+	cancelled := reserveDurable(t, f, machine, newAllocation(TaskID{Job: "j-3"}, 1, 0.001), 2)
+	cancelled.markSent(2)
+	report.Tasks = append(report.Tasks, wire.TaskReport{Task: "j-3/0", Attempt: 1, Status: wire.TaskFlushing})
+	f.Report(3, report, true)
+	machine.EachAllocation(func(allocation *Allocation) { f.Stop(allocation, 60, 3) })
+	f.Stop(cancelled, 0, 4)
+	for _, scope := range []Scope{StopsOnly, AllCommands} {
+		stopped := false
+		for _, command := range f.Commands(machine, 5, true, scope) {
+			stopped = stopped || command.Task == "j-3/0" && *command.GraceS == 0
+		}
+		if !stopped {
+			t.Errorf("scope %d: the cancelled task is not stopped", scope)
+		}
+	}
+}
