Autoscaler: a gang gets machines for all its tasks, on spot machines too

Cause: machines for work that may use spot machines are sized by how soon it drains, since an array's tasks may run one after the other; a gang's may not. unblock, which provides for jobs that have waited for 60 s, asked whether one task fits, and looked at jobs whole only with same_place.

Change: a gang counts with all its tasks in the demand for spot machines, in its urgent part and in constrained work, and a stuck one is looked at whole, in one zone or in any. Constraint says Together and SameZone in place of TogetherInZone. Gangs that use on-demand machines in one zone, as those of the sites, were counted so before.

TestStuckTaskGetsMachine has three cases of gangs.

--- a/autoscaler/autoscaler_test.go
+++ b/autoscaler/autoscaler_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// Guards against a gang on spot machines that never runs, since machines are rented for it as for an
+// array, whose tasks may run one after the other.
+func TestGangNeedsMachinesForAllTasks(t *testing.T) {
+	f := newFixture(t)
+	gang := f.add("j-1", func(spec *wire.Spec) {
+		spec.Kind, spec.Tasks, spec.Cores, spec.Zone, spec.MachineTypes = wire.KindGang, 7, 8, "x", []string{"m"}
+	})
+	demand := f.Demand(f.view(clock.Second))
+	if demand.Preemptible.Cores < 56 || demand.Urgent.Cores < 56 {
+		t.Errorf("%v preemptible and %v urgent cores, want 56 or more", demand.Preemptible.Cores, demand.Urgent.Cores)
+	}
+	if work := f.ConstrainedWork(f.view(clock.Second), nil); len(work) != 1 || work[0].Cores != 56 {
+		t.Errorf("constrained work %+v, want 56 cores", work)
+	}
+	stuck := f.stuckConstraints(f.view(2*stuckAfter), stuckAfter)
+	if len(stuck) != 1 || stuck[0].Together != len(gang.Waiting) || stuck[0].SameZone {
+		t.Errorf("stuck %+v, want all %d tasks together, in any zones", stuck, len(gang.Waiting))
+	}
+}
+
 // TestRentedMachinesAreCountedOnce: a rented machine counts from the cloud's response on, and is not
 // counted again when it reports.
 func TestRentedMachinesAreCountedOnce(t *testing.T) {
--- a/autoscaler/constraints.go
+++ b/autoscaler/constraints.go
@@ -88,7 +88,7 @@
 // concurrentTasks returns how many of a job's unfinished tasks should run at once.
 func (a *Autoscaler) concurrentTasks(job *jobs.Job, unfinished int) float64 {
 	tasks := float64(unfinished)
-	if job.IsService() || !job.Spec.Preemptible {
+	if job.IsService() || job.IsGang() || !job.Spec.Preemptible {
 		return tasks
 	}
 	runS := a.runTime(job).Seconds()
@@ -130,7 +130,8 @@
 
 // stuckConstraints lists one task of each job with waiting tasks and no placement within the given time,
 // although its team's limit allows one. For a job that must be spread or stay in one zone,
-// the task is bound to the job's preferred zone.
+// the task is bound to the job's preferred zone. A gang, and a job of which no task has a zone yet and
+// that must stay in one, are listed with all waiting tasks.
 func (a *Autoscaler) stuckConstraints(v View, after clock.Micros) (stuck []cloud.Constraint) {
 	var zones []string
 	for _, machineType := range a.catalog.MachineTypes {
@@ -141,8 +142,9 @@
 		if work.Zone == "" && (job.Spec.SameZone || job.Spec.Spread) {
 			work.Zone = job.PreferredZone(zones)
 		}
-		if job.Spec.SameZone && len(job.Plan.Zones) == 0 {
-			work.TogetherInZone = len(job.Waiting)
+		work.SameZone = job.Spec.SameZone && len(job.Plan.Zones) == 0
+		if work.SameZone || job.IsGang() {
+			work.Together = len(job.Waiting)
 		}
 		work.Avoid = avoided(job, v.Failures)
 		stuck = append(stuck, work)
--- a/autoscaler/demand.go
+++ b/autoscaler/demand.go
@@ -271,8 +271,12 @@
 	}
 	drainS, onDemandDrainS := a.drainTimes(job, runS)
 	remaining := (work.waiting + work.running/2) * runS
-	work.add(&sums.drain, min(tasks, remaining/drainS))
-	work.add(&sums.urgent, min(tasks, remaining/onDemandDrainS))
+	drainTasks, urgentTasks := min(tasks, remaining/drainS), min(tasks, remaining/onDemandDrainS)
+	if job.IsGang() {
+		drainTasks, urgentTasks = tasks, tasks // they run only all together
+	}
+	work.add(&sums.drain, drainTasks)
+	work.add(&sums.urgent, urgentTasks)
 	work.add(&sums.all, tasks)
 }
 
--- a/cloud/constraints.go
+++ b/cloud/constraints.go
@@ -18,8 +18,10 @@
 	Task         Load            // its largest task
 	Cores        float64         // needed at the same time
 	Avoid        map[string]bool // names of machines that it must not use
-	// TogetherInZone is how many such tasks wait for capacity in a single zone.
-	TogetherInZone int
+	// Together is how many such tasks wait that need capacity at the same time; zero if each of them may
+	// start by itself.
+	Together int
+	SameZone bool // those tasks need it in a single zone
 }
 
 // Allows reports whether an empty machine of the given type, zone and kind may run the work.
@@ -147,8 +149,8 @@
 // unblock provides a machine with free capacity for a task: it uncordons one, or rents one
 // if mayRent is set. It reports whether it changed the decision.
 func (r *resizer) unblock(task *Constraint, mayRent bool) bool {
-	if task.TogetherInZone > 1 {
-		return r.unblockInOneZone(task, mayRent)
+	if task.Together > 1 {
+		return r.unblockTogether(task, mayRent)
 	}
 	var candidate *Machine // the last cordoned machine that fits
 	for i, machine := range r.machines {
@@ -167,15 +169,16 @@
 	return mayRent && r.rentCheapest(task)
 }
 
-// unblockInOneZone is unblock for tasks that must share a zone and of which none is placed yet.
-// Unless some zone has capacity for all of them, it adds a machine to the zone where most fit.
-func (r *resizer) unblockInOneZone(tasks *Constraint, mayRent bool) bool {
-	zone, enough := r.zoneWithMostCapacity(tasks)
+// unblockTogether is unblock for tasks that need capacity at the same time and of which none is placed
+// yet. Unless there is capacity for all of them, it adds a machine: if they must share a zone, to the
+// one where most of them fit.
+func (r *resizer) unblockTogether(tasks *Constraint, mayRent bool) bool {
+	zone, enough := r.capacityTogether(tasks)
 	if enough {
 		return false // the tasks wait for something other than capacity
 	}
 	inZone := *tasks
-	if inZone.Zone == "" {
+	if tasks.SameZone && inZone.Zone == "" {
 		inZone.Zone = zone
 	}
 	for _, machine := range r.machines {
@@ -188,25 +191,27 @@
 	return mayRent && (r.rentCheapest(&inZone) || r.rentCheapest(tasks))
 }
 
-// zoneWithMostCapacity returns the first zone by name with free capacity for all the tasks, and
-// true. Without such a zone it returns the one with capacity for the most tasks, or "" if no task
-// fits anywhere, and false.
-func (r *resizer) zoneWithMostCapacity(tasks *Constraint) (zone string, enough bool) {
-	fitting := map[string]int{}
+// capacityTogether reports whether there is free capacity for all the tasks, in a single zone if they
+// must share one, and returns the first zone by name where that is so. Without enough capacity it
+// returns the zone with capacity for the most tasks, or "" if no task fits anywhere.
+func (r *resizer) capacityTogether(tasks *Constraint) (zone string, enough bool) {
+	fitting, total := map[string]int{}, 0
 	for _, machine := range r.machines {
 		if r.takesTasks(machine) && r.fits(tasks, machine) {
-			fitting[machine.Zone] += machine.Free.taskCount(tasks.Task)
+			count := machine.Free.taskCount(tasks.Task)
+			fitting[machine.Zone] += count
+			total += count
 		}
 	}
 	for _, candidate := range slices.Sorted(maps.Keys(fitting)) {
-		if fitting[candidate] >= tasks.TogetherInZone {
+		if fitting[candidate] >= tasks.Together {
 			return candidate, true
 		}
 		if zone == "" || fitting[candidate] > fitting[zone] {
 			zone = candidate
 		}
 	}
-	return zone, false
+	return zone, !tasks.SameZone && total >= tasks.Together
 }
 
 // fits reports whether a machine's type is in the catalog and it has free capacity for a task.
--- a/cloud/constraints_test.go
+++ b/cloud/constraints_test.go
@@ -52,14 +52,16 @@
 }
 
 // A stuck task gets a machine if the fleet has enough capacity in total but no machine has
-// enough for the task. It gets none if a machine has capacity, if something else is rented,
-// or if only on-demand machines are available.
+// enough for the task, or if the tasks of a gang do not all fit at the same time. It gets none if there
+// is capacity, if something else is rented, or if only on-demand machines are available.
 func TestStuckTaskGetsMachine(t *testing.T) {
 	task := Constraint{Preemptible: true, Task: Load{Cores: 3, RAM: 1}}
 	inY, avoidsA := task, task
 	inY.Zone = "y"
 	avoidsA.Avoid = map[string]bool{"a": true}
-	three := Constraint{Preemptible: true, Task: Load{Cores: 2, RAM: 1}, TogetherInZone: 3}
+	three := Constraint{Preemptible: true, Task: Load{Cores: 2, RAM: 1}, Together: 3, SameZone: true}
+	gang := three
+	gang.SameZone = false
 	leaving := cordoned(partlyUsed("g", "y", 4))
 	rentIn := func(zone string) Decision { return Decision{Rent: []Rental{{"s", zone, true, 1}}} }
 	for _, tt := range []struct {
@@ -79,6 +81,9 @@
 		{"capacity for all of them only across two zones", []Machine{partlyUsed("a", "x", 2), partlyUsed("b", "y", 5)}, three, 9, nothingRefused, rentIn("y")},
 		{"capacity for all of them in one zone", []Machine{partlyUsed("a", "y", 2), partlyUsed("b", "y", 5)}, three, 9, nothingRefused, Decision{}},
 		{"capacity for all with a cordoned machine", []Machine{partlyUsed("a", "y", 2), leaving}, three, 6, nothingRefused, Decision{Uncordon: []string{"g"}}},
+		{"capacity for a gang across two zones", []Machine{partlyUsed("a", "x", 2), partlyUsed("b", "y", 5)}, gang, 9, nothingRefused, Decision{}},
+		{"capacity for a part of a gang", []Machine{partlyUsed("a", "x", 2), partlyUsed("b", "y", 3)}, gang, 11, nothingRefused, rentIn("x")},
+		{"capacity for a gang with a cordoned machine", []Machine{partlyUsed("a", "x", 2), leaving}, gang, 6, nothingRefused, Decision{Uncordon: []string{"g"}}},
 		{"no spot machine available", []Machine{partlyUsed("a", "x", 2)}, task, 6, spotRefused, Decision{}},
 	} {
 		demand := Demand{Preemptible: Load{Cores: tt.cores, RAM: 1}, KeepPreemptible: tt.cores, Stuck: []Constraint{tt.stuck, tt.stuck},
