--- a/quota/amount.go
+++ b/quota/amount.go
@@ -49,6 +49,9 @@
 	return Amount{Cores: a.Cores - b.Cores, Accelerators: a.Accelerators - b.Accelerators}
 }
 
+// negated returns -a.
+func (a Amount) negated() Amount { return Amount{Cores: -a.Cores, Accelerators: -a.Accelerators} }
+
 // Times returns the amount that the given number of tasks use if each uses a.
 func (a Amount) Times(tasks int) Amount {
 	return Amount{Cores: a.Cores * Units(tasks), Accelerators: a.Accelerators * Units(tasks)}
--- a/quota/draft.go
+++ b/quota/draft.go
@@ -27,14 +27,18 @@
 	return !d.HasQuotas() || !d.ledger.hasGuarantees && !d.ledger.Limits(team).HasLimit()
 }
 
-// change returns the plan's change to a team's usage, and creates it if there is none.
-func (d *Draft) change(team string) *planChange {
+// change adds to the plan's change of a team's usage.
+func (d *Draft) change(team string, started, stopping Amount) {
+	if d.isUntracked(team) {
+		return
+	}
 	change := d.changes[team]
 	if change == nil {
 		change = &planChange{}
 		d.changes[team] = change
 	}
-	return change
+	change.started = change.started.Plus(started)
+	change.stopping = change.stopping.Plus(stopping)
 }
 
 // usage returns the team's account, nil if it has none, its total usage after the plan's changes, and
@@ -70,41 +74,17 @@
 }
 
 // Add adds a task that the plan starts to its team's usage.
-func (d *Draft) Add(team string, amount Amount) {
-	if d.isUntracked(team) {
-		return
-	}
-	change := d.change(team)
-	change.started = change.started.Plus(amount)
-}
+func (d *Draft) Add(team string, amount Amount) { d.change(team, amount, Amount{}) }
 
 // Remove subtracts a task that the plan no longer starts, or moves elsewhere, from its team's usage.
-func (d *Draft) Remove(team string, amount Amount) {
-	if d.isUntracked(team) {
-		return
-	}
-	change := d.change(team)
-	change.started = change.started.Minus(amount)
-}
+func (d *Draft) Remove(team string, amount Amount) { d.change(team, amount.negated(), Amount{}) }
 
 // Stop records that the plan stops a task. The task no longer counts against its team's guarantee,
 // but it counts against the limit until it is released.
-func (d *Draft) Stop(team string, amount Amount) {
-	if d.isUntracked(team) {
-		return
-	}
-	change := d.change(team)
-	change.stopping = change.stopping.Plus(amount)
-}
+func (d *Draft) Stop(team string, amount Amount) { d.change(team, Amount{}, amount) }
 
 // Resume reverts a Stop.
-func (d *Draft) Resume(team string, amount Amount) {
-	if d.isUntracked(team) {
-		return
-	}
-	change := d.change(team)
-	change.stopping = change.stopping.Minus(amount)
-}
+func (d *Draft) Resume(team string, amount Amount) { d.change(team, Amount{}, amount.negated()) }
 
 // BeyondGuarantee reports whether tasks of a team that together use the given amount are beyond its
 // guarantee: without them the team still uses its full guarantee of a resource that they use. Such
