--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -90,3 +90,28 @@
 		t.Error("the token is raised again within seconds")
 	}
 }
+
+// Guards against a stop at once that is never sent directly, because it was requested while the command
+// with an earlier stop, which had a grace period, was in flight.
+func TestStopAtOnceFollowsStopInFlight(t *testing.T) {
+	d, f, machine := newTestDispatcher(t, 4)
+	allocation := reserveRun(t, f, machine, false)
+	prepare := func() []*fleet.InFlightCommand {
+		d.MarkUrgent(machine)
+		return d.Prepare(1, firstToken, fleet.AllCommands, noOrphans)
+	}
+	d.Completed(prepare()[0]) // the run
+	task := wire.TaskReport{Task: "j-1/0", Attempt: 1, Status: wire.TaskRunning}
+	f.Report(1, &wire.Heartbeat{Machine: "n-1", Endpoint: "e", Incarnation: 1, Sequence: 2, Token: firstToken, Tasks: []wire.TaskReport{task}}, true)
+	f.Stop(allocation, 60, 1)
+	first := prepare()
+	f.Stop(allocation, 0, 1)
+	if again := prepare(); len(first) != 1 || len(again) != 0 {
+		t.Fatalf("%d commands, then %d while the first is in flight", len(first), len(again))
+	}
+	d.Completed(first[0])
+	second := prepare()
+	if len(second) != 1 || len(second[0].Commands) != 1 || *second[0].Commands[0].GraceS != 0 {
+		t.Errorf("after the first: commands %+v, want a stop without a grace period", second)
+	}
+}
--- a/fleet/reservations.go
+++ b/fleet/reservations.go
@@ -48,9 +48,10 @@
 	allocation.reservation.MarkRecorded()
 }
 
-// Stop requests the end of an attempt, with a grace period in seconds. It shortens
-// the grace period of an attempt that is being stopped already, and never extends
-// it. An attempt that was never sent is removed at once.
+// Stop requests the end of an attempt, with a grace period in seconds. For an
+// attempt that is being stopped already, a shorter period replaces the earlier
+// one and a longer one changes nothing. An attempt that was never sent is removed
+// at once.
 func (f *Fleet) Stop(allocation *Allocation, grace float64, now clock.Micros) (gone bool) {
 	if allocation.Ended {
 		return false
