--- a/config/platform.go
+++ b/config/platform.go
@@ -82,6 +82,39 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next holds the limits that will apply from a time that is not announced. A limit that is zero
+	// does not change.
+	Next *NextState `json:"next"`
+}
+
+// NextState holds the limits that the state service will have.
+type NextState struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// ValueBytes returns the size limit of a value in bytes.
+func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
+
+// Lowered returns the limits as they are once the announced ones apply, as far as these are lower.
+func (s State) Lowered() State {
+	if s.Next == nil {
+		return s
+	}
+	next := *s.Next
+	s.RPS, s.WriteRPS, s.ValueKB = lower(s.RPS, next.RPS), lower(s.WriteRPS, next.WriteRPS), lower(s.ValueKB, next.ValueKB)
+	s.TxnOps = int(lower(float64(s.TxnOps), float64(next.TxnOps)))
+	return s
+}
+
+// lower returns the lower of a limit and the one announced for it, if there is one.
+func lower(limit, announced float64) float64 {
+	if announced > 0 {
+		return min(limit, announced)
+	}
+	return limit
 }
 
 // Cloud holds the limits of the cloud API.
--- a/control_loop.go
+++ b/control_loop.go
@@ -79,7 +79,7 @@
 	for range maxTransactionsPerPass {
 		l.mu.Lock()
 		tx := l.buildTransaction()
-		more := l.writer.HasDirty()
+		more := l.writer.HasDirty(l.jobs, l.clock.Now())
 		l.mu.Unlock()
 		if tx == nil {
 			break
@@ -95,7 +95,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.writer.HasDirty() {
+	if l.writer.HasDirty(l.jobs, l.clock.Now()) {
 		l.wake()
 	}
 	return true
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 )
 
 // State is an in-memory state service into which tests inject faults.
@@ -28,6 +29,15 @@
 	applied   []wire.Txn
 	faults    stateFaults
 	counts    stateCounts
+	limits    StateLimits
+	writes    *rate.Limiter // nil if the rate is unlimited
+	oversized []OversizedTxn
+}
+
+// OversizedTxn is a transaction that was refused for its size or by RefuseTransactions.
+type OversizedTxn struct {
+	At   time.Time
+	Keys []string // that it would have changed
 }
 
 // stateFaults are the faults that tests have injected into a state service.
@@ -39,8 +49,19 @@
 	delayed         []wire.Txn
 	stalled         chan struct{} // if not nil, requests wait until it is closed
 	beforeRequest   func(path string)
+	refuse          func(txn *wire.Txn) bool
+}
+
+// StateLimits are the limits of a state service on transactions.
+type StateLimits struct {
+	Operations int     // in a transaction, which may have four times as many conditions
+	ValueBytes int     // of a value in the JSON form
+	WriteRPS   float64 // operations per second, with bursts of one second's worth; 0: unlimited
 }
 
+// defaultLimits are the limits of a new state service.
+var defaultLimits = StateLimits{Operations: 24, ValueBytes: 32 << 10}
+
 // stateCounts counts the operations of a state service.
 type stateCounts struct {
 	requests      int
@@ -49,10 +70,6 @@
 	lostResponses int
 }
 
-// maxOperations is the maximum number of changes in a transaction. It may have four times as
-// many conditions.
-const maxOperations = 24
-
 // lease is a granted lease. Keys that belong to it are deleted when it ends.
 type lease struct {
 	ttl time.Duration
@@ -67,7 +84,7 @@
 
 // NewState returns an empty state service whose leases run on the given clock.
 func NewState(clock clockwork.Clock) *State {
-	return &State{clock: clock, rows: map[string]wire.Row{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
+	return &State{clock: clock, rows: map[string]wire.Row{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), limits: defaultLimits,
 		faults: stateFaults{refused: map[string]bool{}, refusalChanged: make(chan struct{})}}
 }
 
@@ -250,9 +267,17 @@
 // commit executes a transaction. The caller holds mu.
 func (s *State) commit(transaction wire.Txn) (status int, body any) {
 	s.expireLeases()
-	if len(transaction.Operations) > maxOperations || len(transaction.Conditions) > 4*maxOperations {
+	if s.isOversized(&transaction) {
 		s.counts.oversized++
-		return http.StatusBadRequest, wire.Error{Error: "too many operations"}
+		var keys []string
+		for _, operation := range transaction.Operations {
+			keys = append(keys, operation.Set+operation.Delete)
+		}
+		s.oversized = append(s.oversized, OversizedTxn{At: s.clock.Now(), Keys: keys})
+		return http.StatusBadRequest, wire.Error{Error: "too large"}
+	}
+	if s.writes != nil && !s.writes.AllowN(s.clock.Now(), len(transaction.Operations)) {
+		return http.StatusTooManyRequests, wire.Error{Error: "too many changes"}
 	}
 	var failed []string
 	for _, condition := range transaction.Conditions {
--- /dev/null
+++ b/internal/standin/state_limits.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"cedardoor/store"
+	"cedardoor/wire"
+
+	"golang.org/x/time/rate"
+)
+
+// conditionsPerOperation is how many conditions a transaction may have for each operation that it may have.
+const conditionsPerOperation = 4
+
+// SetLimits sets the limits that apply from now on. What is stored stays readable.
+func (s *State) SetLimits(limits StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits, s.writes = limits, nil
+	if limits.WriteRPS > 0 {
+		s.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))
+	}
+}
+
+// RefuseTransactions makes the service refuse, with status 400, the transactions for which refuse returns
+// true.
+func (s *State) RefuseTransactions(refuse func(txn *wire.Txn) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.refuse = refuse
+}
+
+// OversizedTransactions returns the transactions that were refused for their size or by
+// RefuseTransactions, in the order of their arrival.
+func (s *State) OversizedTransactions() []OversizedTxn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.oversized[:len(s.oversized):len(s.oversized)]
+}
+
+// isOversized reports whether a transaction is beyond the limits of size, or is to be refused. The caller
+// holds mu.
+func (s *State) isOversized(txn *wire.Txn) bool {
+	if len(txn.Operations) > s.limits.Operations || len(txn.Conditions) > conditionsPerOperation*s.limits.Operations {
+		return true
+	}
+	if s.faults.refuse != nil && s.faults.refuse(txn) {
+		return true
+	}
+	if s.limits.ValueBytes >= defaultLimits.ValueBytes {
+		return false // no test writes larger values, and the sizes take time to determine
+	}
+	for _, operation := range txn.Operations {
+		if operation.Set != "" && store.ValueSize(operation.Value) > s.limits.ValueBytes {
+			return true
+		}
+	}
+	return false
+}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sort"
 
 	"cedardoor/attribution"
 	"cedardoor/clock"
@@ -51,8 +52,8 @@
 
 // Record tracks the durable records of a job.
 type Record struct {
-	ModRevision uint64 // of the job's own record
-	Chunks      []Chunk
+	ModRevision uint64   // of the job's own record
+	Chunks      []*Chunk // in order of their tasks, which they cover without gaps
 	// Shared is the record that holds a single-task job's attempt instead of a chunk; nil if none.
 	Shared *SharedRecord
 	// PendingResult is the ended attempt of the job's only task, until its result is durable.
@@ -95,12 +96,18 @@
 	t.State = TaskWaiting
 }
 
-// Chunk is the durable record of some of a job's tasks.
+// Chunk is the durable record of some of a job's tasks: at most store.TasksPerChunk consecutive ones, or
+// fewer if their record would be too large for the state service.
 type Chunk struct {
+	First         int // index of its first task
+	Size          int // how many tasks it covers; the last chunk of a job may cover more than there are
 	ModRevision   uint64
 	Version       uint64              // incremented by every change
 	SavedVersion  uint64              // the version that is durable
 	EndedAttempts []*fleet.Allocation // ended attempts whose end is not durable yet
+	// Leftover lists the first tasks of records that an unfinished division of the chunk may have left in
+	// the state service. The next write of the chunk replaces or deletes them.
+	Leftover []int
 	// Unreadable is how many of its tasks may run somewhere because the stored record can't be
 	// decoded. The record is not overwritten until it is known where all of them are.
 	Unreadable int
@@ -108,11 +115,14 @@
 
 // SharedRecord is a record shared by many single-task jobs.
 type SharedRecord struct {
-	Chunk
+	Chunk    // its First and Size are not used
 	Key      string
 	JobCount int               // jobs ever added to it
 	Jobs     []*Job            // jobs still in it
 	KeptRows []store.SharedRow // rows of jobs whose own record can't be used
+	// LeftoverKeys lists the keys of records that an unfinished division of this one may have left in the
+	// state service. The next write of the record deletes them.
+	LeftoverKeys []string
 }
 
 // New creates a job from its record.
@@ -121,7 +131,8 @@
 	priority, _ := wire.ParsePriority(spec.Priority)
 	job := &Job{UID: spec.UID, Spec: spec, Priority: priority, AcceptedUS: record.AcceptedUS, SeenAt: now,
 		Tasks: make([]Task, spec.Tasks), Waiting: make([]int, spec.Tasks),
-		Record: Record{ModRevision: modRevision, Chunks: make([]Chunk, (spec.Tasks+store.TasksPerChunk-1)/store.TasksPerChunk)}}
+		Record: Record{ModRevision: modRevision}}
+	job.Record.ExtendChunks(spec.Tasks)
 	for i := range job.Waiting {
 		job.Waiting[i] = i
 		job.Tasks[i].queued = true
@@ -214,7 +225,10 @@
 func (j *Job) TaskAmount() quota.Amount { return quota.NewAmount(j.Spec.Cores, j.Spec.Accelerators) }
 
 // ChunkOf returns the job's own chunk for a task, even if the job uses a shared record.
-func (j *Job) ChunkOf(index int) *Chunk { return &j.Record.Chunks[index/store.TasksPerChunk] }
+func (j *Job) ChunkOf(index int) *Chunk {
+	chunks := j.Record.Chunks
+	return chunks[sort.Search(len(chunks), func(n int) bool { return chunks[n].First > index })-1]
+}
 
 // MarkChanged marks the record of a task's attempts as changed, and returns it.
 func (j *Job) MarkChanged(index int) *Chunk {
--- a/jobs/job_test.go
+++ b/jobs/job_test.go
@@ -80,7 +80,7 @@
 // MarkChanged marks the shared record if the job uses one, and otherwise the task's chunk.
 func TestMarkChangedUsesRecordInUse(t *testing.T) {
 	job := newJob(store.TasksPerChunk+1, nil)
-	if chunk := job.MarkChanged(store.TasksPerChunk); chunk != &job.Record.Chunks[1] || chunk.Version != 1 {
+	if chunk := job.MarkChanged(store.TasksPerChunk); chunk != job.Record.Chunks[1] || chunk.Version != 1 {
 		t.Errorf("changed %+v", chunk)
 	}
 	job.Record.Shared = &SharedRecord{}
--- a/reconciliation/load.go
+++ b/reconciliation/load.go
@@ -102,37 +102,33 @@
 // isDone reports whether a job is done, not cancelled, so that none of its tasks can still run.
 func (l *loader) isDone(uid string) bool { return l.records.FinalStates[uid].Status == wire.JobDone }
 
-// chunkJob returns a chunk's job, extended to hold the chunk's tasks. It returns nil if the job's
-// record is missing or unreadable; tasks of it that workers report then run on.
-func (l *loader) chunkJob(row recovery.ChunkRow) *jobs.Job {
-	var job *jobs.Job
+// chunkJob returns a chunk's job, extended to hold the chunk's tasks, and the chunk. It returns nil if the
+// job's record is missing or unreadable; tasks of it that workers report then run on.
+func (l *loader) chunkJob(row recovery.ChunkRow) (job *jobs.Job, chunk *jobs.Chunk) {
+	end := row.First + row.Size
 	switch l.records.States[row.UID] {
 	case recovery.JobActive:
 		job = l.Jobs.Get(row.UID)
 	case recovery.JobFinished:
 		job = l.finishedJob(row.UID)
-		for len(job.Tasks) < (row.Number+1)*store.TasksPerChunk {
-			job.Tasks = append(job.Tasks, jobs.Task{})
-		}
+		job.Tasks = append(job.Tasks, make([]jobs.Task, max(0, end-len(job.Tasks)))...)
 	default:
-		return nil
-	}
-	for len(job.Record.Chunks) <= row.Number {
-		job.Record.Chunks = append(job.Record.Chunks, jobs.Chunk{})
+		return nil, nil
 	}
-	return job
+	job.Record.ExtendChunks(max(end, len(job.Tasks)))
+	return job, job.Record.Carve(row.First, row.Size)
 }
 
 // loadChunk restores a chunk of a job's tasks.
 func (l *loader) loadChunk(row recovery.ChunkRow) {
-	job := l.chunkJob(row)
+	job, chunk := l.chunkJob(row)
 	if job == nil {
 		return
 	}
-	job.Record.Chunks[row.Number].ModRevision = row.ModRevision
-	first, done := row.Number*store.TasksPerChunk, l.isDone(row.UID)
+	chunk.ModRevision, chunk.Leftover = row.ModRevision, row.Leftover
+	first, done := row.First, l.isDone(row.UID)
 	if row.Unreadable && !done {
-		for i := first; i < min(first+store.TasksPerChunk, job.Size()); i++ {
+		for i := first; i < chunk.End(job.Size()); i++ {
 			l.markUnreadable(job, i, row.ModRevision)
 		}
 		return
--- a/reconciliation/reconciler_test.go
+++ b/reconciliation/reconciler_test.go
@@ -77,7 +77,7 @@
 	f.load(&recovery.Records{
 		Jobs:   []recovery.JobRow{jobRow("j-1", 3)},
 		States: map[string]recovery.JobState{"j-1": recovery.JobActive},
-		Chunks: []recovery.ChunkRow{{UID: "j-1", ModRevision: 6, Done: []bool{true, false, false},
+		Chunks: []recovery.ChunkRow{{UID: "j-1", Size: store.TasksPerChunk, ModRevision: 6, Done: []bool{true, false, false},
 			Attempts: []store.TaskAttempt{{Index: 1, Attempt: 2, Machine: "n-1", Incarnation: 1}}}},
 		FinalMoves: []recovery.FinalMoveRow{{UID: "j-2"}},
 	})
@@ -105,7 +105,7 @@
 	f.load(&recovery.Records{
 		Jobs:   []recovery.JobRow{jobRow("j-1", 2)},
 		States: map[string]recovery.JobState{"j-1": recovery.JobActive},
-		Chunks: []recovery.ChunkRow{{UID: "j-1", ModRevision: 6, Unreadable: true}},
+		Chunks: []recovery.ChunkRow{{UID: "j-1", Size: store.TasksPerChunk, ModRevision: 6, Unreadable: true}},
 	})
 	job := f.Jobs.Get("j-1")
 	if len(job.Waiting) != 0 || !f.HasUnreadable(job) || f.Report(f.now).Attempts.Unreadable != 2 {
--- a/reconciliation/unreadable.go
+++ b/reconciliation/unreadable.go
@@ -23,8 +23,8 @@
 // count returns how many of the tasks no machine has reported.
 func (u *unreadableTasks) count() (n int) {
 	for job := range u.jobs {
-		for i := range job.Record.Chunks {
-			n += job.Record.Chunks[i].Unreadable
+		for _, chunk := range job.Record.Chunks {
+			n += chunk.Unreadable
 		}
 	}
 	return n
--- a/recording.go
+++ b/recording.go
@@ -44,7 +44,7 @@
 // lost, it sends the identical transaction again: the conditions let it be applied only once, and the
 // nonce shows whether it was. It returns false when the term is over.
 func (l *leader) commit(ctx context.Context, tx *statewriter.Transaction) bool {
-	pause := minCommitPause
+	pause, unknownOutcome := minCommitPause, false
 	for ctx.Err() == nil {
 		revision, err := l.store.Commit(ctx, store.Urgent, tx.Txn)
 		if err == nil {
@@ -57,12 +57,10 @@
 		}
 		l.log.Debug("transaction not applied", "error", err)
 		if errors.Is(err, store.ErrMalformed) {
-			l.log.Error("transaction refused", "error", err, "operations", len(tx.Txn.Operations), "conditions", len(tx.Txn.Conditions))
-			l.mu.Lock()
-			l.writer.Rejected(tx)
-			l.mu.Unlock()
+			l.transactionRejected(tx, unknownOutcome, err)
 			return ctx.Err() == nil
 		}
+		unknownOutcome = unknownOutcome || !errors.Is(err, store.ErrRefused)
 		l.sleep(ctx, pause)
 		pause = min(2*pause, maxCommitPause)
 	}
@@ -79,6 +77,7 @@
 		l.fleet.MarkDurable(allocation)
 		l.dispatcher.MarkUrgent(allocation.Machine)
 	})
+	l.store.LowerLimits(l.writer.Learned())
 	for _, job := range tx.Finished() {
 		l.metrics.ObserveJobDone(now - job.SeenAt)
 		l.log.Debug("job done", "job", job.UID)
@@ -88,6 +87,16 @@
 	}
 }
 
+// transactionRejected requeues the changes of a transaction that the service refused, within the limits
+// that it is believed to have now.
+func (l *leader) transactionRejected(tx *statewriter.Transaction, unknownOutcome bool, err error) {
+	l.log.Error("transaction refused", "error", err, "operations", len(tx.Txn.Operations), "conditions", len(tx.Txn.Conditions),
+		"changes", len(tx.Changes()), "largest_value", tx.LargestValue(), "txn_ops", l.store.TxnOps(), "value_bytes", l.store.MaxValueBytes())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writer.Rejected(tx, unknownOutcome, l.clock.Now())
+}
+
 // resolveConflict determines why conditions of a transaction failed: an earlier copy of it was
 // applied, a record was changed, damaged or deleted in the meantime, or the term is over. It returns
 // false in the last case.
--- a/recovery/read.go
+++ b/recovery/read.go
@@ -54,34 +54,6 @@
 	return record, nil
 }
 
-// readChunks reads the chunks of the jobs' attempts.
-func (r *Records) readChunks(ctx context.Context, source Source) error {
-	rows, _, err := source.List(ctx, store.Urgent, store.PrefixAttempts)
-	if err != nil {
-		return fmt.Errorf("read attempts: %w", err)
-	}
-	for _, row := range rows {
-		uid, number, ok := store.ParseChunkKey(row.Key)
-		if !ok || !wire.ValidUID(uid) {
-			r.addDamage(Damage{Key: row.Key, Kind: DamageUnknownKey})
-			continue
-		}
-		chunk := ChunkRow{UID: uid, Number: number, ModRevision: row.ModRevision}
-		var record store.ChunkRecord
-		err := wire.Unmarshal(row.Value, &record)
-		if err == nil {
-			// The bounds that depend on the job are left to checkChunks.
-			chunk.Done, chunk.Attempts, err = record.Decode(store.TasksPerChunk)
-		}
-		if err != nil {
-			chunk.Unreadable = true
-			r.addDamage(Damage{Key: row.Key, Kind: DamageAttempts, Job: uid, Detail: err.Error()})
-		}
-		r.Chunks = append(r.Chunks, chunk)
-	}
-	return nil
-}
-
 // readShared reads the records shared by single-task jobs.
 func (r *Records) readShared(ctx context.Context, source Source) error {
 	rows, _, err := source.List(ctx, store.Urgent, store.PrefixShared)
--- a/recovery/records.go
+++ b/recovery/records.go
@@ -47,14 +47,16 @@
 // FinalRecord is a job's final state.
 type FinalRecord = store.FinalRecord
 
-// ChunkRow is the record of the attempts of up to store.TasksPerChunk tasks of a job.
+// ChunkRow is the record of the attempts of up to store.TasksPerChunk consecutive tasks of a job.
 type ChunkRow struct {
 	UID         string
-	Number      int
+	First       int // index of its first task
+	Size        int // how many tasks it covers
 	ModRevision uint64
 	Unreadable  bool // it can't be decoded or is invalid, so its attempts are unknown
 	Done        []bool
 	Attempts    []store.TaskAttempt
+	Leftover    []int // first tasks of parts that are stored but not in use
 }
 
 // SharedRow is a record shared by several single-task jobs.
--- /dev/null
+++ b/statewriter/limits.go
@@ -0,0 +1,31 @@
+package statewriter
+
+// conditionsPerOperation is how many conditions a transaction may have for each operation that the service
+// allows.
+const conditionsPerOperation = 4
+
+// limits bound one transaction.
+type limits struct {
+	operations int
+	valueBytes int // size of a value in the JSON form
+}
+
+// conditions returns how many conditions a transaction may have.
+func (l limits) conditions() int { return conditionsPerOperation * l.operations }
+
+// currentLimits returns the limits of the next transaction.
+func (w *Writer) currentLimits(capacity Capacity) limits {
+	current := limits{operations: capacity.TxnOps(), valueBytes: capacity.MaxValueBytes()}
+	if w.batchOperations > 0 {
+		current.operations = min(current.operations, w.batchOperations)
+	}
+	return current
+}
+
+// Learned returns the limits of the state service that refused transactions have shown since the last
+// call, zero for those that they have not.
+func (w *Writer) Learned() (txnOps, valueBytes int) {
+	txnOps, valueBytes = w.learned.operations, w.learned.valueBytes
+	w.learned = limits{}
+	return txnOps, valueBytes
+}
--- /dev/null
+++ b/statewriter/refusals_test.go
@@ -0,0 +1,206 @@
+package statewriter
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"cedardoor/clock"
+	"cedardoor/jobs"
+	"cedardoor/store"
+	"cedardoor/wire"
+)
+
+// TestRejectedTransactionIsSplit checks that the changes of a rejected transaction are written one by
+// one after a pause, so that an invalid change can't block the others.
+func TestRejectedTransactionIsSplit(t *testing.T) {
+	f := newFixture(t)
+	f.place(f.add("j-1", 2, "standard"), 0)
+	f.place(f.add("j-2", 2, "standard"), 0)
+	tx := f.next(ampleCapacity)
+	f.checkKeys(tx, "p/j-1/00000", "p/j-2/00000")
+	f.w.Rejected(tx, false, f.now)
+	f.place(f.add("j-3", 2, "standard"), 0)
+	tx = f.next(ampleCapacity)
+	f.checkKeys(tx, "p/j-3/00000")
+	f.apply(tx, 20)
+	f.checkKeys(f.next(ampleCapacity))
+	if f.w.HasDirty(f.table, f.now) {
+		t.Error("refused changes count as to be recorded while they pause")
+	}
+	f.now += minRefusalPause
+	var keys []string
+	for range 2 {
+		tx = f.next(ampleCapacity)
+		keys = append(keys, writtenKeys(tx)...)
+		if len(writtenKeys(tx)) != 1 {
+			t.Errorf("transaction writes %q, want one record", writtenKeys(tx))
+		}
+		f.apply(tx, 21)
+	}
+	slices.Sort(keys)
+	if want := []string{"p/j-1/00000", "p/j-2/00000"}; !slices.Equal(keys, want) {
+		t.Errorf("written alone: %q, want %q", keys, want)
+	}
+}
+
+// service is a state service that accepts transactions within its limits, but none that writes a refused
+// key.
+type service struct {
+	txnOps, valueBytes int
+	refusedKey         string
+	records            map[string]any
+	revision           uint64
+	refusals           map[string][]clock.Micros // by key, when transactions that write it were refused
+}
+
+func newService(txnOps, valueBytes int) *service {
+	return &service{txnOps: txnOps, valueBytes: valueBytes, records: map[string]any{}, revision: 100, refusals: map[string][]clock.Micros{}}
+}
+
+// accepts reports whether the service accepts a transaction.
+func (s *service) accepts(t *testing.T, txn *wire.Txn) bool {
+	t.Helper()
+	if len(txn.Operations) > s.txnOps || len(txn.Conditions) > 4*s.txnOps {
+		return false
+	}
+	for _, operation := range txn.Operations {
+		if operation.Set+operation.Delete == s.refusedKey || operation.Set != "" && jsonBytes(t, operation.Value) > s.valueBytes {
+			return false
+		}
+	}
+	return true
+}
+
+// jsonBytes returns the size of a value in the JSON form.
+func jsonBytes(t *testing.T, value any) int {
+	t.Helper()
+	raw, err := wire.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded any
+	if err := wire.Unmarshal(raw, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := json.Marshal(decoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(encoded)
+}
+
+// run lets the writer record its changes for a while, one transaction per millisecond, with limits that it
+// learns only from refusals. It ends when nothing is left to record.
+func (f *fixture) run(s *service, c capacity, duration clock.Micros) (idle bool) {
+	f.t.Helper()
+	for end := f.now + duration; f.now < end; f.now += clock.Millisecond {
+		tx := f.next(c)
+		if tx == nil {
+			if f.w.Backlog() == (Backlog{}) {
+				return true
+			}
+			continue
+		}
+		if !s.accepts(f.t, &tx.Txn) {
+			for _, key := range writtenKeys(tx) {
+				s.refusals[key] = append(s.refusals[key], f.now)
+			}
+			f.w.Rejected(tx, false, f.now)
+			continue
+		}
+		s.revision++
+		for _, operation := range tx.Txn.Operations {
+			if operation.Set != "" {
+				s.records[operation.Set] = operation.Value
+			} else {
+				delete(s.records, operation.Delete)
+			}
+		}
+		f.apply(tx, s.revision)
+		txnOps, valueBytes := f.w.Learned()
+		if txnOps > 0 {
+			c.txnOps = txnOps
+		}
+		if valueBytes > 0 {
+			c.valueBytes = valueBytes
+		}
+	}
+	return false
+}
+
+// checkDurable checks that all attempts of a job are durable.
+func checkDurable(t *testing.T, table []*jobs.Job) {
+	t.Helper()
+	for _, job := range table {
+		for i := range job.Tasks {
+			if allocation := job.Tasks[i].Allocation; allocation != nil && !allocation.Durable {
+				t.Errorf("%s is not durable", allocation.Task)
+			}
+		}
+	}
+}
+
+// Guards against a refused change that delays others or is sent again without a pause (incident 0029),
+// whatever the reason of the refusal: one of the state service's own, the number of changes, or both.
+func TestRefusedChangeDelaysNothingElse(t *testing.T) {
+	for _, tt := range []struct {
+		name, refusedKey string
+		txnOps           int
+	}{
+		{"one key", "p/j-10/00000", testTxnOps},
+		{"a shared record", "s/9.1", testTxnOps},
+		{"too many changes", "", 4},
+		{"one key, and too many changes", "p/j-10/00000", 4},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			s := newService(tt.txnOps, testValueKB<<10)
+			s.refusedKey = tt.refusedKey
+			var others []*jobs.Job
+			for k := range 30 {
+				job := f.add(fmt.Sprintf("j-%d", 10+k), 1+k%3, "standard")
+				for i := range job.Tasks {
+					f.place(job, i)
+				}
+				refused := tt.refusedKey == store.ChunkKey(job.UID, 0) || job.Record.Shared != nil && tt.refusedKey == job.Record.Shared.Key
+				if !refused {
+					others = append(others, job)
+				}
+			}
+			f.run(s, ampleCapacity, 2*clock.Second)
+			checkDurable(t, others)
+			f.run(s, ampleCapacity, 60*clock.Second)
+			for key, times := range s.refusals {
+				for i := 1; i < len(times); i++ {
+					if pause := times[i] - times[i-1]; pause < minRefusalPause {
+						t.Errorf("%s: sent again %v after a refusal", key, pause.Duration())
+					}
+				}
+				if len(times) > 14 {
+					t.Errorf("%s: refused %d times", key, len(times))
+				}
+			}
+			if tt.refusedKey == "" && !f.run(s, ampleCapacity, clock.Second) {
+				t.Errorf("still to be recorded: %+v", f.w.Backlog())
+			}
+		})
+	}
+}
+
+// Guards against a change that is never sent again: once the service accepts the key, the change is
+// recorded within the longest pause.
+func TestRefusedChangeIsSentAgain(t *testing.T) {
+	f := newFixture(t)
+	s := newService(testTxnOps, testValueKB<<10)
+	s.refusedKey = "p/j-1/00000"
+	job := f.add("j-1", 2, "standard")
+	f.place(job, 0)
+	f.run(s, ampleCapacity, 100*clock.Second)
+	s.refusedKey = ""
+	if !f.run(s, ampleCapacity, maxRefusalPause+clock.Second) {
+		t.Errorf("still to be recorded: %+v", f.w.Backlog())
+	}
+	checkDurable(t, []*jobs.Job{job})
+}
--- a/statewriter/transaction.go
+++ b/statewriter/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"cedardoor/clock"
 	"cedardoor/fleet"
@@ -13,12 +14,9 @@
 // maxTransactionBytes keeps a transaction well under the service's limit of 64 KiB.
 const maxTransactionBytes = 44 << 10
 
-// Estimated sizes of encoded records, in bytes.
+// Estimated sizes in the JSON form, in bytes.
 const (
-	chunkBytes       = 200
-	chunkRowBytes    = 36
-	sharedBytes      = 100
-	sharedRowBytes   = 70
+	operationBytes   = 100 // of an operation, without its value
 	finalRecordBytes = 300
 )
 
@@ -28,8 +26,15 @@
 	// ensure that it is applied at most once.
 	Txn wire.Txn
 
-	nonce    string // stored in every record that it writes
-	size     int    // estimated, in bytes
+	nonce   string // stored in every record that it writes
+	limits  limits
+	size    int      // estimated, in bytes
+	changes []string // the changes that it makes: those of each can be sent without the others
+	alone   bool     // it may hold no other change than its first, which was refused before
+	divided bool     // it writes a record in several parts
+	// largestValue is the estimated size of the largest value of a divisible record.
+	largestValue int
+
 	records  []recordWrite
 	finished []*jobs.Job // jobs that it records as done
 	deleted  []*jobs.Job // jobs whose last chunks it deletes
@@ -47,8 +52,17 @@
 	attempts []*fleet.Allocation // attempts that become durable with it
 	ended    []*fleet.Allocation // attempts whose end becomes durable with it
 	deleted  bool
+	// parts and sharedParts hold all records into which a divided one is written, starting with itself.
+	parts       []*jobs.Chunk
+	sharedParts []*sharedPart
 }
 
+// Changes names the changes that the transaction makes.
+func (tx *Transaction) Changes() []string { return tx.changes }
+
+// LargestValue returns the estimated size of the largest value that could be divided.
+func (tx *Transaction) LargestValue() int { return tx.largestValue }
+
 // Finished returns the jobs that the transaction records as done.
 func (tx *Transaction) Finished() []*jobs.Job { return tx.finished }
 
@@ -89,105 +103,43 @@
 // empty reports whether the transaction has no operations.
 func (tx *Transaction) empty() bool { return len(tx.Txn.Operations) == 0 }
 
-// full reports whether the transaction has no room for another chunk, which takes one operation and
-// up to two conditions.
-func (w *Writer) full(tx *Transaction, maxOperations int) bool {
-	return len(tx.Txn.Operations) >= maxOperations || tx.size > maxTransactionBytes || len(tx.Txn.Conditions)+2 > w.maxConditions()
+// addValue adds an operation that sets a key to a value of the given size in the JSON form.
+func (tx *Transaction) addValue(key string, value any, size int) {
+	tx.addOperation(wire.Operation{Set: key, Value: value})
+	tx.size += operationBytes + size
+	tx.largestValue = max(tx.largestValue, size)
 }
 
-// addChunks adds the changed chunks of a job. It returns false if not all of them fit.
-func (w *Writer) addChunks(tx *Transaction, job *jobs.Job, maxOperations int) bool {
-	before := len(tx.Txn.Operations)
-	complete := true
-	for n := range job.Record.Chunks {
-		chunk := &job.Record.Chunks[n]
-		if chunk.Version == chunk.SavedVersion || chunk.Unreadable > 0 {
-			continue
-		}
-		if w.full(tx, maxOperations) {
-			complete = false
-			break
-		}
-		tx.addChunk(job, n)
+// addChange notes that the transaction makes a change.
+func (tx *Transaction) addChange(change string) {
+	if !slices.Contains(tx.changes, change) {
+		tx.changes = append(tx.changes, change)
 	}
-	if len(tx.Txn.Operations) > before {
-		// Conditions are limited, so the job's is added only if one of its chunks is written.
-		tx.addCondition(store.JobKey(job.UID), job.Record.ModRevision)
-	}
-	return complete
 }
 
-// addChunk adds a write of one chunk, with the attempts and results of its tasks.
-func (tx *Transaction) addChunk(job *jobs.Job, n int) {
-	chunk := &job.Record.Chunks[n]
-	first := n * store.TasksPerChunk
-	end := min(first+store.TasksPerChunk, len(job.Tasks))
-	done := make([]bool, end-first)
-	var attempts []store.TaskAttempt
-	write := recordWrite{chunk: chunk, key: store.ChunkKey(job.UID, n), job: job, version: chunk.Version, ended: chunk.EndedAttempts}
-	chunk.EndedAttempts = nil
-	for i := first; i < end; i++ {
-		task := &job.Tasks[i]
-		attempt := store.TaskAttempt{Index: i - first, Attempt: task.Attempt}
-		switch {
-		case task.State == jobs.TaskDone:
-			done[i-first] = true
-		case task.Allocation != nil:
-			attempt.Machine, attempt.Incarnation = task.Allocation.Machine.Name, task.Allocation.Incarnation
-			attempts = append(attempts, attempt)
-			if !task.Allocation.Durable {
-				write.attempts = append(write.attempts, task.Allocation)
-			}
-		case task.Attempt > 0:
-			attempts = append(attempts, attempt)
-		}
-	}
-	tx.addCondition(write.key, chunk.ModRevision)
-	tx.addOperation(wire.Operation{Set: write.key, Value: store.NewChunkRecord(tx.nonce, done, attempts)})
-	tx.records = append(tx.records, write)
-	tx.size += chunkBytes + chunkRowBytes*len(attempts)
+// weight returns how many operations the service must allow for the transaction.
+func (tx *Transaction) weight() int {
+	return max(len(tx.Txn.Operations), (len(tx.Txn.Conditions)+conditionsPerOperation-1)/conditionsPerOperation)
 }
 
-// addShared adds a write of a shared record that has changed, at most once per transaction. It
-// returns false if the conditions don't fit next to those of other writes. As with chunks, each
-// attempt that becomes durable is conditional on its own job's record.
-func (w *Writer) addShared(tx *Transaction, shared *jobs.SharedRecord) bool {
-	if shared.Version == shared.SavedVersion || tx.shared[shared] {
-		return true
-	}
-	write := recordWrite{chunk: &shared.Chunk, key: shared.Key, shared: shared, version: shared.Version, ended: shared.EndedAttempts}
-	record := store.SharedRecord{Nonce: tx.nonce, Rows: append([]store.SharedRow{}, shared.KeptRows...)}
-	conditions := []wire.Condition{{Key: shared.Key, ModRevision: shared.ModRevision}}
-	for _, job := range shared.Jobs {
-		task := &job.Tasks[0]
-		row := store.SharedRow{UID: job.UID, Attempt: task.Attempt}
-		switch {
-		case task.Allocation != nil:
-			row.Machine, row.Incarnation = task.Allocation.Machine.Name, task.Allocation.Incarnation
-			record.Rows = append(record.Rows, row)
-			if !task.Allocation.Durable && !job.Cancelled {
-				write.attempts = append(write.attempts, task.Allocation)
-				conditions = append(conditions, wire.Condition{Key: store.JobKey(job.UID), ModRevision: job.Record.ModRevision})
+// full reports whether the transaction has no room for another chunk, which takes one operation and
+// up to two conditions.
+func (tx *Transaction) full(maxOperations int) bool {
+	return len(tx.Txn.Operations) >= maxOperations || tx.size > maxTransactionBytes || len(tx.Txn.Conditions)+2 > tx.limits.conditions()
+}
+
+// keepLeftovers notes the new records of divided ones that the transaction may have left in the service.
+func (tx *Transaction) keepLeftovers() {
+	for _, write := range tx.records {
+		for _, part := range write.parts[min(1, len(write.parts)):] {
+			if !slices.Contains(write.chunk.Leftover, part.First) {
+				write.chunk.Leftover = append(write.chunk.Leftover, part.First)
 			}
-		case task.Attempt > 0:
-			record.Rows = append(record.Rows, row)
+		}
+		for _, part := range write.sharedParts[min(1, len(write.sharedParts)):] {
+			write.shared.LeftoverKeys = append(write.shared.LeftoverKeys, part.shared.Key)
 		}
 	}
-	if len(tx.Txn.Conditions)+len(conditions) > w.maxConditions() && !tx.empty() {
-		return false
-	}
-	tx.shared[shared] = true
-	shared.EndedAttempts = nil
-	tx.Txn.Conditions = append(tx.Txn.Conditions, conditions...)
-	if len(record.Rows) == 0 && w.sharedIsFull(shared) && shared.ModRevision > 0 {
-		write.deleted = true
-		tx.addOperation(wire.Operation{Delete: shared.Key})
-	} else {
-		tx.addOperation(wire.Operation{Set: shared.Key, Value: record})
-	}
-	tx.records = append(tx.records, write)
-	tx.size += sharedBytes + sharedRowBytes*len(record.Rows)
-	return true
 }
 
 // addFinished records a job as done in the job's own record, which takes one operation per job even
@@ -215,16 +167,18 @@
 		return true, false
 	}
 	before := len(tx.records)
-	for n := range job.Record.Chunks {
-		chunk := &job.Record.Chunks[n]
-		if chunk.ModRevision == 0 {
+	for _, chunk := range job.Record.Chunks {
+		if chunk.ModRevision == 0 && len(chunk.Leftover) == 0 {
 			continue
 		}
-		if len(tx.Txn.Operations) >= maxOperations {
+		if needed := 1 + len(chunk.Leftover); !tx.empty() && len(tx.Txn.Operations)+needed > maxOperations {
 			return false, false
 		}
-		key := store.ChunkKey(job.UID, n)
+		key := store.ChunkKey(job.UID, chunk.First)
 		tx.addOperation(wire.Operation{Delete: key})
+		for _, firstTask := range chunk.Leftover {
+			tx.addOperation(wire.Operation{Delete: store.ChunkKey(job.UID, firstTask)})
+		}
 		tx.records = append(tx.records, recordWrite{chunk: chunk, key: key, job: job, deleted: true})
 	}
 	w.LeaveShared(job)
@@ -235,45 +189,18 @@
 	return true, false
 }
 
-// addFinalMoves moves the records of done jobs to their final keys and rewrites stale shared
-// records. It is used when nothing else is to be recorded, and waits for spare writes unless
-// maxPendingFinalMoves is reached.
-func (w *Writer) addFinalMoves(tx *Transaction, capacity Capacity) {
-	spare := min(w.txnOps, capacity.SpareWrites())
-	if (spare < min(minSpareForFinalMoves, w.txnOps) || capacity.Overloaded()) && len(w.finalMoves) < maxPendingFinalMoves {
-		return
-	}
-	const operationsPerMove = 3 // the job's record, its final record, and the shared record with a row of the job
-	for len(w.finalMoves) > 0 && len(tx.Txn.Operations)+operationsPerMove <= max(operationsPerMove, spare) && len(tx.Txn.Conditions) < 3*w.txnOps {
-		move := w.finalMoves[0]
-		w.finalMoves = w.finalMoves[1:]
-		// A new leader would have to look up the job of a row whose job record is gone, so the row
-		// is removed in the same transaction.
-		if move.shared != nil && move.shared.ModRevision > 0 {
-			if !w.addShared(tx, move.shared) {
-				w.finalMoves = append(w.finalMoves, move)
-				break
-			}
-			delete(w.staleShared, move.shared)
-		}
-		tx.addCondition(store.JobKey(move.uid), move.modRevision)
-		tx.addOperation(wire.Operation{Delete: store.JobKey(move.uid)}, wire.Operation{Set: store.FinalKey(move.uid), Value: move.record})
-		tx.moved = append(tx.moved, move)
-	}
-	for shared := range w.staleShared {
-		if len(tx.Txn.Operations) >= spare || !w.addShared(tx, shared) {
-			break
-		}
-		delete(w.staleShared, shared)
-	}
-}
-
 // Applied notes that a transaction was applied at the given revision. It calls markDurable for each
 // attempt that the transaction made durable, and returns the finished jobs that have no chunks left,
 // which the caller removes from its table.
 func (w *Writer) Applied(tx *Transaction, revision uint64, now clock.Micros, markDurable func(*fleet.Allocation)) (removable []*jobs.Job) {
-	for _, write := range tx.records {
+	w.accepted(tx, now)
+	for i := range tx.records {
+		write := &tx.records[i]
 		chunk := write.chunk
+		chunk.Leftover = nil
+		if write.shared != nil {
+			write.shared.LeftoverKeys = nil
+		}
 		if write.deleted {
 			chunk.ModRevision, chunk.SavedVersion = 0, write.version
 			continue
@@ -283,6 +210,12 @@
 			markDurable(allocation)
 		}
 		setResultsDurable(write.ended)
+		if len(write.sharedParts) > 1 {
+			w.sharedDivided(write, revision)
+		}
+		if len(write.parts) > 1 {
+			chunkDivided(write, revision)
+		}
 		switch {
 		case chunk.Version == chunk.SavedVersion:
 		case write.shared != nil:
@@ -307,9 +240,9 @@
 	if record.PendingResult != nil {
 		record.PendingResult.ResultDurable = true
 	}
-	for n := range record.Chunks {
-		setResultsDurable(record.Chunks[n].EndedAttempts)
-		record.Chunks[n].EndedAttempts = nil
+	for _, chunk := range record.Chunks {
+		setResultsDurable(chunk.EndedAttempts)
+		chunk.EndedAttempts = nil
 	}
 	job.Cancelled = true
 	w.MarkDirty(job.UID)
@@ -321,14 +254,6 @@
 	}
 }
 
-// Rejected handles a transaction that the service rejected as malformed and will never apply. Its
-// changes are requeued, and the next transactions hold a single change each, so that a change that
-// causes the rejection can't block all others forever.
-func (w *Writer) Rejected(tx *Transaction) {
-	w.smallTransactions = smallTransactionsAfterRejection
-	w.Requeue(tx, nil)
-}
-
 // Requeue schedules the changes of a transaction that will never be applied to be recorded again,
 // except final moves whose conditions failed.
 func (w *Writer) Requeue(tx *Transaction, failedKeys []string) {
--- a/statewriter/writer.go
+++ b/statewriter/writer.go
@@ -19,15 +19,6 @@
 	// minDeferredOperations is how many operations a transaction of deferrable changes may hold
 	// when there are no spare writes.
 	minDeferredOperations = 4
-	// minSpareForFinalMoves is how many spare writes are needed to move the records of done jobs to
-	// their final keys.
-	minSpareForFinalMoves = 12
-	// maxPendingFinalMoves is the number of pending moves at which they no longer wait for spare
-	// writes: a new leader has to read these jobs along with the unfinished ones.
-	maxPendingFinalMoves = 2000
-	// smallTransactionsAfterRejection is how many transactions hold a single change after one was
-	// rejected.
-	smallTransactionsAfterRejection = 30
 	// maxResultDelay bounds the delay after which results are recorded together.
 	maxResultDelay = 3 * clock.Second
 	// resultDelayWrites sets the delay of results: the time in which the service accepts this many
@@ -35,8 +26,12 @@
 	resultDelayWrites = 60
 )
 
-// Capacity describes how much load the state service accepts at the moment.
+// Capacity describes how much the state service accepts at the moment.
 type Capacity interface {
+	// TxnOps returns how many operations a transaction may hold.
+	TxnOps() int
+	// MaxValueBytes returns how large a value may be in the JSON form.
+	MaxValueBytes() int
 	// SpareWrites returns how many writes could be made without waiting.
 	SpareWrites() int
 	// Overloaded reports whether the service has recently refused a request because of overload.
@@ -47,47 +42,55 @@
 // so that a late transaction of a deposed leader fails.
 type Writer struct {
 	term          uint64 // revision of the leader's record
-	txnOps        int    // operations that a transaction may hold
+	lastLimits    limits // those of the last transaction
 	resultDelay   clock.Micros
 	hasUnreadable func(job *jobs.Job) bool // reports whether unreadable tasks of a job may run somewhere
 
-	sequence          uint64                      // last number given to a transaction or plan of the term
-	dirty             map[string]bool             // jobs with something to record now
-	pendingResults    map[string]clock.Micros     // jobs with results to record, and when these are due
-	openShared        *jobs.SharedRecord          // the one that the next single-task jobs join
-	sharedCount       int                         // shared records created in this term
-	staleShared       map[*jobs.SharedRecord]bool // those to rewrite when there are spare writes
-	smallTransactions int                         // how many more transactions hold a single change, after a rejected one
-	finalMoves        []*finalMove
-}
+	sequence       uint64                      // last number given to a transaction or plan of the term
+	dirty          map[string]bool             // jobs with something to record now
+	pendingResults map[string]clock.Micros     // jobs with results to record, and when these are due
+	openShared     *jobs.SharedRecord          // the one that the next single-task jobs join
+	sharedCount    int                         // shared records created in this term
+	staleShared    map[*jobs.SharedRecord]bool // those to rewrite when there are spare writes
+	finalMoves     []*finalMove
 
-// finalMove is the pending move of a done job's record to its final key.
-type finalMove struct {
-	uid         string
-	modRevision uint64
-	record      store.FinalRecord
-	shared      *jobs.SharedRecord // holds a row of the job, if not nil
+	refusals map[string]*refusal // by change
+	group    *refusedGroup       // nil if none
+	// batchOperations is how many operations a transaction may hold after a larger one was refused; zero
+	// for as many as the service allows.
+	batchOperations int
+	learned         limits // see Learned
 }
 
 // New returns a Writer for the term whose leader record has the given revision. The records of a job
 // are kept as long as hasUnreadable reports that unreadable tasks of the job may run somewhere.
-func New(term uint64, limits config.State, hasUnreadable func(job *jobs.Job) bool) *Writer {
-	return &Writer{term: term, txnOps: limits.TxnOps, hasUnreadable: hasUnreadable,
-		resultDelay: min(maxResultDelay, clock.FromSeconds(resultDelayWrites/limits.WriteRPS)),
-		dirty:       map[string]bool{}, pendingResults: map[string]clock.Micros{}, staleShared: map[*jobs.SharedRecord]bool{}}
+func New(term uint64, state config.State, hasUnreadable func(job *jobs.Job) bool) *Writer {
+	return &Writer{term: term, hasUnreadable: hasUnreadable,
+		lastLimits:  limits{operations: state.TxnOps, valueBytes: state.ValueBytes()},
+		resultDelay: min(maxResultDelay, clock.FromSeconds(resultDelayWrites/state.WriteRPS)),
+		dirty:       map[string]bool{}, pendingResults: map[string]clock.Micros{}, staleShared: map[*jobs.SharedRecord]bool{},
+		refusals: map[string]*refusal{}}
 }
 
-// maxConditions returns how many conditions a transaction may have.
-func (w *Writer) maxConditions() int { return 4 * w.txnOps }
-
 // NextSequence returns the next number for a transaction or plan of the term.
 func (w *Writer) NextSequence() uint64 {
 	w.sequence++
 	return w.sequence
 }
 
-// HasDirty reports whether anything is to be recorded now.
-func (w *Writer) HasDirty() bool { return len(w.dirty) > 0 }
+// HasDirty reports whether anything is to be recorded now. Changes that the service refused are not while
+// they pause.
+func (w *Writer) HasDirty(table *jobs.Table, now clock.Micros) bool {
+	if len(w.refusals) == 0 {
+		return len(w.dirty) > 0
+	}
+	for uid := range w.dirty {
+		if job := table.Get(uid); job == nil || !w.paused(changeOf(job), now) {
+			return true
+		}
+	}
+	return false
+}
 
 // Backlog counts what is still to be recorded.
 type Backlog struct {
@@ -132,49 +135,6 @@
 	return chunk
 }
 
-// AddFinalMove queues the move of a done job's record to its final key.
-func (w *Writer) AddFinalMove(uid string, modRevision uint64, record store.FinalRecord) {
-	w.finalMoves = append(w.finalMoves, &finalMove{uid: uid, modRevision: modRevision, record: record})
-}
-
-// joinShared assigns a single-task job to the open shared record, or to a new one if that is full.
-func (w *Writer) joinShared(job *jobs.Job) {
-	if w.openShared == nil || w.sharedIsFull(w.openShared) {
-		w.sharedCount++
-		w.openShared = &jobs.SharedRecord{Key: store.SharedKey(w.term, w.sharedCount)}
-	}
-	w.openShared.JobCount++
-	w.openShared.Jobs = append(w.openShared.Jobs, job)
-	job.Record.Shared = w.openShared
-}
-
-// sharedIsFull reports whether a shared record accepts no more jobs. Only the open record accepts
-// jobs, and the maximum number of conditions limits their number: the first write of the record is
-// conditional on the record of each job.
-func (w *Writer) sharedIsFull(shared *jobs.SharedRecord) bool {
-	return shared != w.openShared || shared.JobCount >= min(store.JobsPerSharedRecord, w.maxConditions()-8)
-}
-
-// LeaveShared takes a job out of its shared record once its task can't exist anywhere any more. The
-// record is rewritten when there are spare writes.
-func (w *Writer) LeaveShared(job *jobs.Job) {
-	shared := job.Record.Shared
-	if shared == nil {
-		return
-	}
-	if i := slices.Index(shared.Jobs, job); i >= 0 {
-		shared.Jobs = slices.Delete(shared.Jobs, i, i+1)
-		shared.Version++
-	}
-	job.Record.Shared = nil
-	if shared.ModRevision > 0 {
-		w.MarkStale(shared)
-	}
-}
-
-// MarkStale notes that a shared record is to be rewritten when there are spare writes.
-func (w *Writer) MarkStale(shared *jobs.SharedRecord) { w.staleShared[shared] = true }
-
 // Recording priorities that differ from the job's own.
 const (
 	priorityFinished = -1 // remaining records of finished jobs
@@ -202,26 +162,41 @@
 // it.
 func (w *Writer) Next(table *jobs.Table, capacity Capacity, now clock.Micros) (next *Transaction, removable []*jobs.Job) {
 	w.markDueResults(now)
-	tx := &Transaction{nonce: fmt.Sprintf("%d.%d", w.term, w.NextSequence()), shared: map[*jobs.SharedRecord]bool{}}
+	w.lastLimits = w.currentLimits(capacity)
+	tx := &Transaction{nonce: fmt.Sprintf("%d.%d", w.term, w.NextSequence()), limits: w.lastLimits, shared: map[*jobs.SharedRecord]bool{}}
 	tx.Txn.Conditions = []wire.Condition{{Key: store.KeyLeader, ModRevision: w.term}}
-	deferredLimit, urgentLimit := max(minDeferredOperations, capacity.SpareWrites()), w.txnOps
-	if w.smallTransactions > 0 {
-		w.smallTransactions--
-		deferredLimit, urgentLimit = 1, 1
+	removable = w.addDirty(tx, table, capacity, now)
+	if tx.empty() {
+		w.addFinalMoves(tx, capacity, now)
+	}
+	if tx.empty() {
+		return nil, removable
 	}
+	return tx, removable
+}
+
+// addDirty adds the changes that are to be recorded now, as many as fit. It returns the finished jobs that
+// have no chunks left to delete.
+func (w *Writer) addDirty(tx *Transaction, table *jobs.Table, capacity Capacity, now clock.Micros) (removable []*jobs.Job) {
+	deferredLimit := max(minDeferredOperations, capacity.SpareWrites())
 	for _, uid := range w.dirtyByPriority(table) {
 		job := table.Get(uid)
 		if job == nil {
 			delete(w.dirty, uid)
 			continue
 		}
-		maxOperations := urgentLimit
+		change := changeOf(job)
+		if !w.admit(tx, change, now) {
+			continue
+		}
+		maxOperations := tx.limits.operations
 		if priority(job) < int(wire.PriorityStandard) {
 			maxOperations = min(maxOperations, deferredLimit)
 		}
-		if w.full(tx, maxOperations) {
+		if tx.full(maxOperations) {
 			break
 		}
+		before := len(tx.Txn.Operations)
 		complete, noRecords := w.add(tx, job, maxOperations)
 		if noRecords {
 			removable = append(removable, job)
@@ -229,14 +204,14 @@
 		if complete {
 			delete(w.dirty, uid)
 		}
+		if len(tx.Txn.Operations) > before {
+			tx.addChange(change)
+		}
+		if tx.empty() {
+			tx.alone, tx.limits = false, w.lastLimits
+		}
 	}
-	if tx.empty() {
-		w.addFinalMoves(tx, capacity)
-	}
-	if tx.empty() {
-		return nil, removable
-	}
-	return tx, removable
+	return removable
 }
 
 // add adds a job's changes to the transaction. It is complete unless some of them don't fit.
@@ -267,7 +242,7 @@
 		return cmp.Or(cmp.Compare(w.pendingResults[a], w.pendingResults[b]), cmp.Compare(a, b))
 	})
 	othersFirst := len(w.dirty) > 0
-	remaining := w.txnOps / 2
+	remaining := w.lastLimits.operations / 2
 	for _, uid := range due {
 		if remaining--; remaining < 0 || othersFirst && w.pendingResults[uid]+w.resultDelay > now {
 			break
@@ -277,18 +252,34 @@
 	}
 }
 
-// dirtyByPriority returns the jobs with changes to record now, the most urgent first.
+// dirtyByPriority returns the jobs with changes to record now, the most urgent first. Among those of a
+// priority, changes that were refused before are the first and the last in turns.
 func (w *Writer) dirtyByPriority(table *jobs.Table) []string {
 	uids := make([]string, 0, len(w.dirty))
 	for uid := range w.dirty {
 		uids = append(uids, uid)
 	}
 	slices.SortFunc(uids, func(a, b string) int {
-		return cmp.Or(cmp.Compare(priority(table.Get(b)), priority(table.Get(a))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(priority(table.Get(b)), priority(table.Get(a))), w.compareRefused(table.Get(a), table.Get(b)), cmp.Compare(a, b))
 	})
 	return uids
 }
 
+// compareRefused orders jobs by whether their change was refused before.
+func (w *Writer) compareRefused(a, b *jobs.Job) int {
+	if len(w.refusals) == 0 || a == nil || b == nil {
+		return 0
+	}
+	refusedA, refusedB := w.refusals[changeOf(a)] != nil, w.refusals[changeOf(b)] != nil
+	switch {
+	case refusedA == refusedB:
+		return 0
+	case refusedA == (w.sequence%2 == 0):
+		return -1
+	}
+	return 1
+}
+
 // requeueJob marks a job whose record is out of date: as dirty if a placement waits for the record or
 // all tasks are done, otherwise as having results to record.
 func (w *Writer) requeueJob(job *jobs.Job, now clock.Micros) {
@@ -296,13 +287,11 @@
 		w.MarkDirty(job.UID)
 		return
 	}
-	for n := range job.Record.Chunks {
-		chunk := &job.Record.Chunks[n]
+	for _, chunk := range job.Record.Chunks {
 		if chunk.Version == chunk.SavedVersion || chunk.Unreadable > 0 {
 			continue
 		}
-		first := n * store.TasksPerChunk
-		for i := first; i < min(first+store.TasksPerChunk, len(job.Tasks)); i++ {
+		for i := chunk.First; i < chunk.End(len(job.Tasks)); i++ {
 			if allocation := job.Tasks[i].Allocation; allocation != nil && !allocation.Durable {
 				w.MarkDirty(job.UID)
 				return
@@ -311,28 +300,3 @@
 	}
 	w.MarkResult(job, now)
 }
-
-// requeueShared marks the jobs of a shared record dirty if a placement or their completion is not
-// durable yet, and marks the record stale if it is out of date.
-func (w *Writer) requeueShared(shared *jobs.SharedRecord) {
-	for _, job := range shared.Jobs {
-		switch allocation := job.Tasks[0].Allocation; {
-		case job.Cancelled:
-		case allocation != nil && !allocation.Durable || job.Done == 1:
-			w.MarkDirty(job.UID)
-		}
-	}
-	if shared.Version != shared.SavedVersion && shared.ModRevision > 0 {
-		w.MarkStale(shared)
-	}
-}
-
-// requeueMoves queues moves again, except those whose conditions failed: a late copy of the
-// transaction has already moved these records.
-func (w *Writer) requeueMoves(moves []*finalMove, failedKeys []string) {
-	for _, move := range moves {
-		if !slices.Contains(failedKeys, store.JobKey(move.uid)) {
-			w.finalMoves = append(w.finalMoves, move)
-		}
-	}
-}
--- a/statewriter/writer_test.go
+++ b/statewriter/writer_test.go
@@ -1,6 +1,7 @@
 package statewriter
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -16,12 +17,23 @@
 
 const term = 9
 
+// testTxnOps and testValueKB are the limits of the fixture's state service unless a test lowers them.
+const (
+	testTxnOps  = 8
+	testValueKB = 32
+)
+
 // capacity is a fixed Capacity set by a test.
 type capacity struct {
 	spare      int
 	overloaded bool
+	txnOps     int // testTxnOps if zero
+	valueBytes int // as with testValueKB if zero
 }
 
+func (c capacity) TxnOps() int        { return cmp.Or(c.txnOps, testTxnOps) }
+func (c capacity) MaxValueBytes() int { return cmp.Or(c.valueBytes, testValueKB<<10) }
+
 func (c capacity) SpareWrites() int { return c.spare }
 func (c capacity) Overloaded() bool { return c.overloaded }
 
@@ -34,12 +46,13 @@
 	table   *jobs.Table
 	fleet   *fleet.Fleet
 	machine *fleet.Machine
+	now     clock.Micros
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, table: jobs.NewTable(), fleet: fleet.New(clock.Second, clock.Second, 1, quota.NewLedger(nil))}
-	f.w = New(term, config.State{TxnOps: 8, WriteRPS: 30}, func(*jobs.Job) bool { return false })
+	f.w = New(term, config.State{TxnOps: testTxnOps, ValueKB: testValueKB, WriteRPS: 30}, func(*jobs.Job) bool { return false })
 	f.machine = f.fleet.Ensure("n-1", 0)
 	return f
 }
@@ -78,7 +91,7 @@
 
 func (f *fixture) next(c capacity) *Transaction {
 	f.t.Helper()
-	tx, removable := f.w.Next(f.table, c, 0)
+	tx, removable := f.w.Next(f.table, c, f.now)
 	for _, job := range removable {
 		f.table.Remove(job)
 	}
@@ -90,7 +103,7 @@
 	if tx == nil {
 		f.t.Fatal("no transaction to apply")
 	}
-	for _, job := range f.w.Applied(tx, revision, 0, f.fleet.MarkDurable) {
+	for _, job := range f.w.Applied(tx, revision, f.now, f.fleet.MarkDurable) {
 		f.table.Remove(job)
 	}
 }
@@ -192,18 +205,6 @@
 	}
 }
 
-// TestRejectedTransactionIsSplit checks that the changes of a rejected transaction are written one by
-// one, so that an invalid change can't block the others.
-func TestRejectedTransactionIsSplit(t *testing.T) {
-	f := newFixture(t)
-	f.place(f.add("j-1", 2, "standard"), 0)
-	f.place(f.add("j-2", 2, "standard"), 0)
-	tx := f.next(ampleCapacity)
-	f.checkKeys(tx, "p/j-1/00000", "p/j-2/00000")
-	f.w.Rejected(tx)
-	f.checkKeys(f.next(ampleCapacity), "p/j-1/00000")
-}
-
 // TestRequeueKeepsResults checks that the results in a transaction that is never applied are recorded
 // by the next one.
 func TestRequeueKeepsResults(t *testing.T) {
@@ -238,7 +239,7 @@
 			f.place(job, 0)
 			unfinished = append(unfinished, job)
 		}
-		for f.w.HasDirty() {
+		for f.w.HasDirty(f.table, 0) {
 			f.apply(f.next(ampleCapacity), 20)
 		}
 		for _, job := range unfinished {
--- a/store/budget.go
+++ b/store/budget.go
@@ -58,17 +58,18 @@
 
 // budget is one node's share of the service's request and write rates.
 type budget struct {
-	limits       config.State // of the whole service
+	limits       *limits // of the whole service
 	nodes        int
+	leading      atomic.Bool
 	requests     *rate.Limiter
 	writes       *rate.Limiter
 	retries      *rate.Limiter
 	overloadedAt atomic.Int64 // when the service last reported an overload, as Unix time in microseconds
 }
 
-func newBudget(limits config.State, nodes int) *budget {
+func newBudget(state config.State, nodes int) *budget {
 	b := &budget{
-		limits:   limits,
+		limits:   newLimits(state),
 		nodes:    max(1, nodes),
 		requests: rate.NewLimiter(0, 0),
 		writes:   rate.NewLimiter(0, 0),
@@ -79,14 +80,21 @@
 }
 
 func (b *budget) setLeading(leading bool) {
-	requests, writes := b.limits.RPS*followerRequestShare, b.limits.WriteRPS*followerWriteShare
-	if leading {
-		requests, writes = b.limits.RPS*leaderRequestShare, b.limits.WriteRPS*leaderWriteShare
+	b.leading.Store(leading)
+	b.applyRates()
+}
+
+// applyRates sets the rates to this node's share of the service's limits.
+func (b *budget) applyRates() {
+	current := b.limits.rates()
+	requests, writes := current.RPS*followerRequestShare, current.WriteRPS*followerWriteShare
+	if b.leading.Load() {
+		requests, writes = current.RPS*leaderRequestShare, current.WriteRPS*leaderWriteShare
 	}
 	b.requests.SetLimit(rate.Limit(requests))
 	b.requests.SetBurst(max(minBurst, int(requests)))
 	b.writes.SetLimit(rate.Limit(writes))
-	b.writes.SetBurst(max(minBurst, int(writes), b.limits.TxnOps))
+	b.writes.SetBurst(max(minBurst, int(writes), current.TxnOps))
 }
 
 // admit charges a request with the given number of operations to the budget. Depending
@@ -125,7 +133,7 @@
 
 // readInterval returns the minimum interval between reads that serve many requests at once.
 func (b *budget) readInterval() clock.Micros {
-	followerRPS := b.limits.RPS * (1 - leaderRequestShare) / float64(max(1, b.nodes-1))
+	followerRPS := b.limits.rates().RPS * (1 - leaderRequestShare) / float64(max(1, b.nodes-1))
 	interval := min(maxReadInterval, clock.FromSeconds(requestsPerRead/followerRPS))
 	if interval < clock.Millisecond {
 		return 0
@@ -143,13 +151,10 @@
 // UserWriteRates returns the rates, in operations per second, at which this node may write
 // users' changes: the maximum, and the rate that remains while the service is overloaded.
 func (c *Client) UserWriteRates() (maxRate, minRate float64) {
-	limit := c.budget.limits.WriteRPS
+	limit := c.budget.limits.rates().WriteRPS
 	return maxUserWriteShare * limit, minUserWriteShare * limit / float64(c.budget.nodes)
 }
 
-// TxnOps returns how many operations a transaction may hold.
-func (c *Client) TxnOps() int { return c.budget.limits.TxnOps }
-
 // WaitingRequests returns how many requests wait for this node's budget.
 func (c *Client) WaitingRequests() int { return int(-c.budget.requests.Tokens()) }
 
--- a/store/chunk.go
+++ b/store/chunk.go
@@ -6,10 +6,16 @@
 	"strings"
 )
 
-// TasksPerChunk is how many tasks one record holds: in JSON form, 120 rows of up to
-// about 30 bytes and as many machine names stay under the smallest value limit.
+// TasksPerChunk is the maximum number of tasks in one record: in JSON form, 120 rows of up to
+// about 30 bytes and as many machine names stay under 8 KiB. Where the state service accepts less, a
+// chunk is divided, see ChunkPart.
 const TasksPerChunk = 120
 
+// partOfChunk stands in place of the bitmap in a record that holds only a part of its chunk. It is not a
+// valid bitmap: a release that knows no parts finds the chunk's record damaged, and so neither takes the
+// part for the whole chunk nor starts any of its tasks before it knows what runs on every machine.
+const partOfChunk = "part"
+
 // TaskAttempt is the recorded attempt of a task. An empty Machine means that the task is
 // waiting.
 type TaskAttempt struct {
@@ -19,7 +25,8 @@
 	Incarnation uint64
 }
 
-// ChunkRecord holds the attempts and results of up to TasksPerChunk tasks.
+// ChunkRecord holds the attempts and results of up to TasksPerChunk tasks. The records of a chunk that is
+// divided have a Part, each with the tasks from the one that its key names.
 type ChunkRecord struct {
 	Nonce string `msgpack:"w"`
 	// Done is a bitmap of the done tasks in hexadecimal digits. The lowest bit of the
@@ -27,7 +34,14 @@
 	Done     string   `msgpack:"d"`
 	Machines []string `msgpack:"h"`
 	// Attempts has a row for each unfinished task with an attempt; see the columns below.
-	Attempts [][]int64 `msgpack:"r"`
+	Attempts [][]int64  `msgpack:"r"`
+	Part     *ChunkPart `msgpack:"p,omitempty"`
+}
+
+// ChunkPart is what only the records of a divided chunk hold.
+type ChunkPart struct {
+	Tasks int    `msgpack:"n"` // how many tasks the record covers
+	Done  string `msgpack:"d"` // the bitmap, in place of ChunkRecord.Done
 }
 
 // The columns of ChunkRecord.Attempts. The machine is an index into Machines, or
@@ -63,10 +77,26 @@
 	return record
 }
 
-// Decode is the inverse of NewChunkRecord. It fails if the record is not valid for a chunk
-// of n tasks.
+// NewPartRecord returns a record that holds only a part of a chunk, with as many tasks as done has entries.
+// Indexes are relative to the part's first task.
+func NewPartRecord(nonce string, done []bool, attempts []TaskAttempt) ChunkRecord {
+	record := NewChunkRecord(nonce, done, attempts)
+	record.Part = &ChunkPart{Tasks: len(done), Done: record.Done}
+	record.Done = partOfChunk
+	return record
+}
+
+// Decode is the inverse of NewChunkRecord and NewPartRecord. It fails if the record is not valid for n
+// tasks, or holds a part of more than n.
 func (record ChunkRecord) Decode(n int) (done []bool, attempts []TaskAttempt, err error) {
-	done, err = decodeBitmap(record.Done, n)
+	bitmap := record.Done
+	if part := record.Part; part != nil {
+		if record.Done != partOfChunk || part.Tasks < 1 || part.Tasks > n {
+			return nil, nil, fmt.Errorf("invalid part of a chunk: %d tasks", part.Tasks)
+		}
+		bitmap, n = part.Done, part.Tasks
+	}
+	done, err = decodeBitmap(bitmap, n)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/store/chunk_test.go
+++ b/store/chunk_test.go
@@ -50,8 +50,15 @@
 }
 
 func TestChunkKey(t *testing.T) {
-	uid, n, ok := ParseChunkKey(ChunkKey("j-12", 833))
-	if uid != "j-12" || n != 833 || !ok {
-		t.Errorf("%q %d %t", uid, n, ok)
+	for _, firstTask := range []int{0, 833 * TasksPerChunk, 833*TasksPerChunk + 1, 2*TasksPerChunk - 1} {
+		uid, got, ok := ParseChunkKey(ChunkKey("j-12", firstTask))
+		if uid != "j-12" || got != firstTask || !ok {
+			t.Errorf("%s: %q %d %t", ChunkKey("j-12", firstTask), uid, got, ok)
+		}
+	}
+	for _, key := range []string{"p/j-12/x", "p/j-12", "j/j-12/00001", "p/j-12/00001.x", "p/j-12/00001.000", "p/j-12/00001.120", "p/j-12/-0001"} {
+		if _, _, ok := ParseChunkKey(key); ok {
+			t.Errorf("%s: taken for a chunk's key", key)
+		}
 	}
 }
--- a/store/client.go
+++ b/store/client.go
@@ -36,12 +36,12 @@
 
 // New returns a Client for one of the given number of nodes. The limits are those of the
 // whole service; the node uses a share of them, see SetLeading.
-func New(addr string, limits config.State, nodes int) *Client {
+func New(addr string, state config.State, nodes int) *Client {
 	return &Client{
 		baseURL:  "http://" + addr,
 		requests: link.NewClient(dialTimeout, maxConnections, 0),
 		watches:  link.NewClient(dialTimeout, maxWatchConnections, 0),
-		budget:   newBudget(limits, nodes),
+		budget:   newBudget(state, nodes),
 	}
 }
 
--- a/store/golden_test.go
+++ b/store/golden_test.go
@@ -67,8 +67,9 @@
 
 // TestKeys checks the keys under which records are stored.
 func TestKeys(t *testing.T) {
-	got := []string{KeyLeader, KeyToken, KeyCatalog, KeyDemand, JobKey("j-17"), FinalKey("j-17"), ChunkKey("j-17", 3), SharedKey(9, 4)}
-	want := []string{"lead", "warrant", "catalog", "demand", "j/j-17", "f/j-17", "p/j-17/00003", "s/9.4"}
+	got := []string{KeyLeader, KeyToken, KeyCatalog, KeyDemand, JobKey("j-17"), FinalKey("j-17"), ChunkKey("j-17", 3*TasksPerChunk),
+		ChunkKey("j-17", 3*TasksPerChunk+40), SharedKey(9, 4)}
+	want := []string{"lead", "warrant", "catalog", "demand", "j/j-17", "f/j-17", "p/j-17/00003", "p/j-17/00003.040", "s/9.4"}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("keys %q, want %q", got, want)
 	}
@@ -87,7 +88,8 @@
 		{SharedRow{}, "u t h,omitempty s"},
 		{DemandRecord{}, "c r a l"},
 		{FinalRecord{}, "s p w o c a r"},
-		{ChunkRecord{}, "w d h r"},
+		{ChunkRecord{}, "w d h r p,omitempty"},
+		{ChunkPart{}, "n d"},
 	}
 	for _, tt := range tests {
 		if got := golden.Tags(tt.record); got != tt.want {
--- a/store/keys.go
+++ b/store/keys.go
@@ -28,16 +28,34 @@
 // FinalKey returns the key of a finished job's record.
 func FinalKey(uid string) string { return PrefixFinal + uid }
 
-// ChunkKey returns the key of the record of one chunk of a job's tasks.
-func ChunkKey(uid string, chunk int) string {
-	return fmt.Sprintf("%s%s/%05d", PrefixAttempts, uid, chunk)
+// ChunkKey returns the key of the record of a job's tasks from the given one on. A chunk that is not
+// divided has a key with its number; where it is divided, the keys of the parts after the first also
+// name the part's first task within the chunk. In the order of keys, the parts of a chunk follow it.
+func ChunkKey(uid string, firstTask int) string {
+	chunk, offset := firstTask/TasksPerChunk, firstTask%TasksPerChunk
+	if offset == 0 {
+		return fmt.Sprintf("%s%s/%05d", PrefixAttempts, uid, chunk)
+	}
+	return fmt.Sprintf("%s%s/%05d.%03d", PrefixAttempts, uid, chunk, offset)
 }
 
 // ParseChunkKey is the inverse of ChunkKey.
-func ParseChunkKey(key string) (uid string, chunk int, ok bool) {
-	uid, number, found := strings.Cut(strings.TrimPrefix(key, PrefixAttempts), "/")
+func ParseChunkKey(key string) (uid string, firstTask int, ok bool) {
+	rest, isChunk := strings.CutPrefix(key, PrefixAttempts)
+	uid, number, found := strings.Cut(rest, "/")
+	number, part, divided := strings.Cut(number, ".")
 	chunk, err := strconv.Atoi(number)
-	return uid, chunk, found && err == nil && chunk >= 0 && strings.HasPrefix(key, PrefixAttempts)
+	if !isChunk || !found || err != nil || chunk < 0 {
+		return uid, 0, false
+	}
+	offset := 0
+	if divided {
+		offset, err = strconv.Atoi(part)
+		if err != nil || offset <= 0 || offset >= TasksPerChunk {
+			return uid, 0, false
+		}
+	}
+	return uid, chunk*TasksPerChunk + offset, true
 }
 
 // SharedKey returns the key of the n-th shared record that a leader creates. The revision of
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -36,7 +37,11 @@
 	case http.StatusConflict:
 		return decodeConflict(raw)
 	case http.StatusBadRequest:
-		return 0, decodeBadTransaction(raw)
+		err := decodeBadTransaction(raw)
+		if errors.Is(err, ErrMalformed) && c.budget.limits.adoptAnnounced(&txn) {
+			c.budget.applyRates()
+		}
+		return 0, err
 	}
 	return 0, unexpectedStatus(status, raw)
 }
