Writer: a shared record that is too large for lower limits is divided

What callers saw: single-task jobs whose shared record was larger than the state service's new limit of a value, or had more new attempts than a transaction may have conditions, never ran, and their results were not recorded; also those in records that were stored before the limits fell.

Cause: a shared record took up to 60 jobs whatever the limits were, and all of them were written at once.

Now its size in the JSON form is compared with the limit; what does not fit goes into new shared records in the same transaction, which controllers of any release read.

Tests: TestLargeSharedRecordIsDivided failed before (dozens of attempts were not durable after 3 s), with announced limits and with others.

--- a/statewriter/refusals_test.go
+++ b/statewriter/refusals_test.go
@@ -204,3 +204,85 @@
 	}
 	checkDurable(t, []*jobs.Job{job})
 }
+
+// recordedAttempts returns the attempts of tasks that the records of a service hold, and fails if a task
+// has two.
+func recordedAttempts(t *testing.T, s *service) map[string]uint64 {
+	t.Helper()
+	attempts := map[string]uint64{}
+	add := func(task string, attempt uint64) {
+		if _, twice := attempts[task]; twice {
+			t.Errorf("two records hold an attempt of %s", task)
+		}
+		attempts[task] = attempt
+	}
+	for key, value := range s.records {
+		switch record := value.(type) {
+		case store.ChunkRecord:
+			uid, firstTask, _ := store.ParseChunkKey(key)
+			_, rows, err := record.Decode(store.TasksPerChunk)
+			if err != nil {
+				t.Fatalf("%s: %v", key, err)
+			}
+			for _, row := range rows {
+				add(fmt.Sprintf("%s/%d", uid, firstTask+row.Index), row.Attempt)
+			}
+		case store.SharedRecord:
+			for _, row := range record.Rows {
+				add(row.UID+"/0", row.Attempt)
+			}
+		}
+	}
+	return attempts
+}
+
+// lowLimits are how a test of records that are too large lets the writer know of lower limits.
+var lowLimits = []struct {
+	name      string
+	announced bool
+}{{"announced", true}, {"learned", false}}
+
+// Guards against a shared record that is too large for lower limits, or has too many conditions, and is
+// never written (incident 0030): one that is stored, and one that is not.
+func TestLargeSharedRecordIsDivided(t *testing.T) {
+	const txnOps, valueBytes = 8, 2 << 10
+	for _, tt := range lowLimits {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			s := newService(24, testValueKB<<10)
+			high := capacity{spare: 24, txnOps: 24}
+			f.w.lastLimits.operations = 24
+			var placed []*jobs.Job
+			add := func(from, to int) {
+				for k := from; k < to; k++ {
+					job := f.add(fmt.Sprintf("j-%06d", k), 1, "standard")
+					f.place(job, 0)
+					placed = append(placed, job)
+				}
+			}
+			add(0, 60)
+			if !f.run(s, high, clock.Second) {
+				t.Fatal("not recorded within the high limits")
+			}
+			for _, job := range placed[:40] { // new attempts in the stored record
+				f.fleet.Remove(job.Tasks[0].Allocation, f.now)
+				f.w.AttemptEnded(job, 0)
+				f.place(job, 0)
+			}
+			add(60, 120)
+			s.txnOps, s.valueBytes = txnOps, valueBytes
+			low := high
+			if tt.announced {
+				low.txnOps, low.valueBytes = txnOps, valueBytes
+			}
+			f.run(s, low, 3*clock.Second)
+			checkDurable(t, placed)
+			if got := len(recordedAttempts(t, s)); got != len(placed) {
+				t.Errorf("attempts of %d jobs are recorded, want %d", got, len(placed))
+			}
+			if tt.announced && len(s.refusals) > 0 {
+				t.Errorf("refused within the announced limits: %v", s.refusals)
+			}
+		})
+	}
+}
--- a/statewriter/shared.go
+++ b/statewriter/shared.go
@@ -193,7 +193,7 @@
 		if entry.hasRow {
 			size = entry.row.JSONSize()
 		}
-		if false && part.size+size > room {
+		if part.size > 0 && part.size+size > room {
 			parts = append(parts, part)
 			part = &sharedPart{shared: w.newShared()}
 			part.shared.JobCount = store.JobsPerSharedRecord // no jobs are added to it
