Writer: a chunk whose record is too large for lower limits is divided

What callers saw: jobs of many tasks never started their tasks, and their results were not recorded, once the record of up to 120 tasks (p/JOB/CHUNK) was larger than the state service's new limit: at 2 KiB from about 60 tasks on different machines on.

Cause: a record always held all tasks of its chunk.

Now a record that would be too large is written in parts, all in one transaction under the condition of the first: p/JOB/CHUNK holds the first tasks, p/JOB/CHUNK.OFFSET the others. A part is stored in a form of its own; that of whole chunks and its golden bytes stay. A release without parts finds the first part damaged, starts none of the chunk's tasks before it knows what runs on every machine, and ignores the others.

--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -1,10 +1,15 @@
 package cedardoor
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"cedardoor/config"
 	"cedardoor/internal/standin"
 	"cedardoor/store"
 	"cedardoor/wire"
@@ -15,6 +20,13 @@
 	return func(spec *wire.Spec) { spec.Tasks, spec.Cores, spec.RAM = tasks, 0.01, 0.01 }
 }
 
+// announcing returns a settings modifier that announces limits of the state service.
+func announcing(limits standin.StateLimits) func(facts *config.Facts) {
+	return func(facts *config.Facts) {
+		facts.State.Next = &config.NextState{ValueKB: float64(limits.ValueBytes) / 1024, TxnOps: limits.Operations}
+	}
+}
+
 // countLiveTasks counts the live tasks of a job on workers.
 func countLiveTasks(workers []*standin.Worker, uid string) (n int) {
 	for _, worker := range workers {
@@ -117,3 +129,131 @@
 		})
 	}
 }
+
+// lowerLimits are limits to which a state service falls from 24 operations and 32 KiB.
+var lowerLimits = []standin.StateLimits{
+	{Operations: 8, ValueBytes: 2 << 10},
+	{Operations: 24, ValueBytes: 1 << 10},
+	{Operations: 4, ValueBytes: 32 << 10},
+	{Operations: 4, ValueBytes: 3 << 10},
+}
+
+// Guards against jobs that never run, and results that are never recorded, since their records are too large
+// or too many for limits to which the state service has fallen (incidents 0029, 0030 and 0031): before
+// or after they were stored, before and after a change of leader, with limits that the settings announce
+// and others, and with answers lost meanwhile.
+func TestJobsRunAfterLimitsFall(t *testing.T) {
+	for _, limits := range lowerLimits {
+		for _, announced := range []bool{false, true} {
+			for _, lost := range []int{0, 2} {
+				t.Run(fmt.Sprintf("%d operations, %d bytes, announced %t, %d answers lost", limits.Operations, limits.ValueBytes, announced, lost), func(t *testing.T) {
+					t.Parallel()
+					playLowerLimits(t, limits, announced, lost)
+				})
+			}
+		}
+	}
+}
+
+// playLowerLimits runs jobs while the limits fall and the leader changes, and checks that all of them run.
+func playLowerLimits(t *testing.T, limits standin.StateLimits, announced bool, lost int) {
+	var mod func(facts *config.Facts)
+	if announced {
+		mod = announcing(limits)
+	}
+	cluster, nodeA, nodeB := clusterWithTwoNodes(t, mod)
+	leader, stop := cluster.elect(nodeA)
+	workers := cluster.workers(leader, "n-%06d", 6)
+	singles := func(from, to int) {
+		for k := from; k < to; k++ {
+			cluster.submit(nodeB, jobSpec(fmt.Sprintf("j-%06d", k), smallTasks(1)))
+		}
+	}
+	singles(1000, 1070)
+	cluster.submit(nodeB, jobSpec("j-1", smallTasks(250)))
+	cluster.syncAndSettle(leader)
+	cluster.runSeconds(leader, workers, 2)
+	cluster.state.SetLimits(limits)
+	singles(2000, 2070)
+	cluster.submit(nodeB, jobSpec("j-2", smallTasks(250)))
+	cluster.submit(nodeB, jobSpec("j-3", func(spec *wire.Spec) { smallTasks(3)(spec); spec.Kind = wire.KindGang }))
+	endTasks(workers, "j-1", 100)
+	cluster.settleLosing(leader, lost)
+	cluster.runSeconds(leader, workers, 6)
+	for uid, want := range map[string]int{"j-1": 150, "j-2": 250, "j-3": 3} {
+		if got := countLiveTasks(workers, uid); got != want {
+			t.Errorf("%d tasks of %s run after the limits fell, want %d", got, uid, want)
+		}
+	}
+	stop()
+	leader, _ = cluster.elect(nodeB)
+	if damaged := leader.reconciler.Report(leader.clock.Now()).Damaged; len(damaged) > 0 {
+		t.Errorf("the next leader finds damaged records: %+v", damaged)
+	}
+	endTasks(workers, "j-2", 120)
+	singles(3000, 3010)
+	cluster.submit(nodeA, jobSpec("j-4", smallTasks(150)))
+	cluster.settleLosing(leader, lost)
+	cluster.runSeconds(leader, workers, 6)
+	if got := countLiveTasks(workers, "j-4"); got != 150 {
+		t.Errorf("%d of 150 tasks run under the next leader", got)
+	}
+	for range 3 {
+		for _, worker := range workers {
+			for _, task := range worker.LiveTasks() {
+				worker.EndTask(task, wire.CauseDone)
+			}
+		}
+		cluster.runSeconds(leader, workers, 6)
+	}
+	for _, prefix := range []string{store.PrefixJob, store.PrefixAttempts} {
+		if left := cluster.state.Keys(prefix); len(left) > 0 {
+			t.Errorf("records of unfinished jobs are left: %v", left[:min(len(left), 10)])
+		}
+	}
+	for _, uid := range []string{"j-1", "j-2", "j-3", "j-4", "j-001000", "j-002069", "j-003009"} {
+		cluster.checkStatus(nodeA, uid, wire.JobDone)
+	}
+	if attempts := checkStartedOnce(t, workers); len(attempts) != 150+650+3 {
+		t.Errorf("%d attempts have started, want one for each of the %d tasks", len(attempts), 150+650+3)
+	}
+	checkRefusalPauses(t, cluster.state.OversizedTransactions(), 7)
+}
+
+// settleLosing makes the leader read all jobs and settle while the answers to the next transactions are lost.
+func (s *testCluster) settleLosing(leader *leader, lost int) {
+	s.tb.Helper()
+	s.state.LoseResponses(lost)
+	ctx, cancel := context.WithCancel(s.tb.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); s.runClock(ctx, 20*time.Millisecond) }()
+	s.syncAndSettle(leader)
+	s.state.LoseResponses(0)
+	cancel()
+	<-done
+	s.resync(leader) // commands wait for it after an interruption of the state service
+}
+
+// endTasks ends some tasks of a job as done.
+func endTasks(workers []*standin.Worker, uid string, count int) {
+	for _, worker := range workers {
+		for _, task := range worker.LiveTasks() {
+			if count > 0 && jobOf(task) == uid {
+				worker.EndTask(task, wire.CauseDone)
+				count--
+			}
+		}
+	}
+}
+
+// submitAtOnce submits jobs at the same time and returns the status codes of the responses.
+func (s *testCluster) submitAtOnce(node *Service, uids []string) (codes []int) {
+	s.tb.Helper()
+	codes = make([]int, len(uids))
+	var users sync.WaitGroup
+	for i, uid := range uids {
+		users.Go(func() { codes[i], _, _ = s.ask(node, http.MethodPost, wire.PathJobs, jobSpec(uid, nil)) })
+	}
+	users.Wait()
+	return codes
+}
--- a/statewriter/chunks.go
+++ b/statewriter/chunks.go
@@ -78,7 +78,7 @@
 			contents = append(contents, content)
 			fit = fit && content.record.JSONSize() <= tx.limits.valueBytes
 		}
-		if fit || true {
+		if fit || count >= tasks {
 			return parts, contents
 		}
 	}
--- a/statewriter/refusals_test.go
+++ b/statewriter/refusals_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"cedardoor/clock"
@@ -286,3 +287,50 @@
 		})
 	}
 }
+
+// Guards against a chunk that is too large for lower limits and is never written (incident 0031).
+func TestLargeChunkIsDivided(t *testing.T) {
+	const tasks = 300
+	for _, tt := range lowLimits {
+		for _, valueBytes := range []int{2 << 10, 700} {
+			t.Run(fmt.Sprintf("%s, %d bytes", tt.name, valueBytes), func(t *testing.T) {
+				f := newFixture(t)
+				s := newService(testTxnOps, testValueKB<<10)
+				job := f.add("j-1", tasks, "standard")
+				f.machine = f.fleet.Ensure("n-"+strings.Repeat("0", 20), 0)
+				for i := range 250 {
+					f.place(job, i)
+				}
+				if !f.run(s, ampleCapacity, clock.Second) {
+					t.Fatal("not recorded within the high limits")
+				}
+				for i := range 100 {
+					f.finish(job, 2*i)
+				}
+				for i := 250; i < tasks; i++ {
+					f.place(job, i)
+				}
+				s.valueBytes = valueBytes
+				low := ampleCapacity
+				if tt.announced {
+					low.valueBytes = valueBytes
+				}
+				if !f.run(s, low, 5*clock.Second) {
+					t.Errorf("still to be recorded: %+v", f.w.Backlog())
+				}
+				checkDurable(t, []*jobs.Job{job})
+				if got := len(recordedAttempts(t, s)); got != tasks-100 {
+					t.Errorf("%d attempts are recorded, want %d", got, tasks-100)
+				}
+				for i := range tasks {
+					if allocation := job.Tasks[i].Allocation; allocation != nil {
+						f.finish(job, i)
+					}
+				}
+				if !f.run(s, low, 5*clock.Second) || len(s.records) != 1 {
+					t.Errorf("%d records are left of a job that is done, backlog %+v", len(s.records), f.w.Backlog())
+				}
+			})
+		}
+	}
+}
--- a/store/chunk_test.go
+++ b/store/chunk_test.go
@@ -62,3 +62,22 @@
 		}
 	}
 }
+
+// A part of a chunk is decoded with its own number of tasks, and is not a valid record for a release that
+// knows no parts, which would take it for the whole chunk.
+func TestChunkPart(t *testing.T) {
+	done := []bool{true, false, false, false, true}
+	attempts := []TaskAttempt{{Index: 1, Attempt: 2, Machine: "n-1", Incarnation: 3}}
+	record := NewPartRecord("9.4", done, attempts)
+	gotDone, gotAttempts, err := record.Decode(TasksPerChunk)
+	if diff := cmp.Diff(done, gotDone) + cmp.Diff(attempts, gotAttempts); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if _, _, err := record.Decode(4); err == nil {
+		t.Error("no error for a part of more tasks than there are")
+	}
+	record.Part = nil
+	if _, _, err := record.Decode(TasksPerChunk); err == nil {
+		t.Error("no error for a part that is taken for a whole chunk")
+	}
+}
--- a/store/golden_test.go
+++ b/store/golden_test.go
@@ -9,7 +9,8 @@
 )
 
 // goldenRecords returns stored records of every kind, with all fields set and in shorter forms. The
-// files under testdata/golden hold their encodings by release f8c9f67.
+// files under testdata/golden hold their encodings by release f8c9f67, that of chunk_part by the first release
+// that divides chunks.
 func goldenRecords() map[string]any {
 	due := 120.0
 	spec := wire.Spec{UID: "j-17", Class: "nightly", Team: "orders", Kind: wire.KindBatch, Priority: "high", Tasks: 3, Cores: 1.5, Accelerators: 1, RAM: 2.25,
@@ -27,6 +28,7 @@
 		"over":          final,
 		"over_of_spec":  NewFinalRecord(&spec, wire.JobCancelled, "9.5"),
 		"chunk":         NewChunkRecord("9.4", done, []TaskAttempt{{Index: 1, Attempt: 2, Machine: "h-1", Incarnation: 7}, {Index: 2, Attempt: 1}, {Index: 118, Attempt: 3, Machine: "h-2", Incarnation: 1}}),
+		"chunk_part":    NewPartRecord("9.4", done[:40], []TaskAttempt{{Index: 1, Attempt: 2, Machine: "h-1", Incarnation: 7}, {Index: 39, Attempt: 1}}),
 		"chunk_empty":   NewChunkRecord("9.4", make([]bool, 3), nil),
 		"shared":        SharedRecord{Nonce: "9.4", Rows: []SharedRow{{UID: "j-3", Attempt: 2, Machine: "h-1", Incarnation: 7}, {UID: "j-4", Attempt: 1}}},
 		"shared_empty":  SharedRecord{Nonce: "9.4", Rows: []SharedRow{}},
--- a/store/size.go
+++ b/store/size.go
@@ -49,7 +49,7 @@
 
 // JSONSize returns the size of the record in the JSON form, with a space after each separator.
 func (record DemandRecord) JSONSize() int {
-	n := len(`{"c": , "r": , "a": , "l": {}}`)
+	n := len(`{"c": , "r": , "a": , "l": null}`)
 	for _, amount := range []float64{record.Cores, record.RAM, record.Accelerators} {
 		n += len(strconv.FormatFloat(amount, 'g', -1, 64))
 	}
