Writer: a transaction that the service is too busy for is made smaller

Cause: the leader sent the same transaction until it was answered with anything but 429. Its limit of 24 operations comes from the settings, not from the rate.

Now, after three such answers (0.7 s) and if no copy may have been executed, the changes go back, and the next transactions hold half as many; each accepted one raises that by one. Urgent changes that came meanwhile go first.

--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -257,3 +257,29 @@
 	users.Wait()
 	return codes
 }
+
+// Guards against a transaction that holds more changes than the state service allows at once, and that is
+// sent for ever while nothing else is recorded (incident 0032): the rate falls, the size of a transaction
+// does not.
+func TestJobsRunAfterRateFalls(t *testing.T) {
+	cluster, node, leader, worker := clusterWithWorker(t)
+	for k := range 30 {
+		cluster.submit(node, jobSpec(fmt.Sprintf("j-%d", k), smallTasks(2)))
+	}
+	cluster.resync(leader)
+	cluster.state.SetLimits(standin.StateLimits{Operations: 24, ValueBytes: 32 << 10, WriteRPS: 10})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	settled := make(chan struct{})
+	go func() { defer close(settled); cluster.runClock(ctx, 20*time.Millisecond) }()
+	start := cluster.clock.Now()
+	for len(worker.LiveTasks()) < 60 && ctx.Err() == nil {
+		leader.pass(ctx)
+		cluster.clock.Advance(20 * time.Millisecond)
+	}
+	cancel()
+	<-settled
+	if got, took := len(worker.LiveTasks()), cluster.clock.Now().Sub(start); got != 60 || took > 15*time.Second {
+		t.Errorf("%d of 60 tasks run after %v", got, took)
+	}
+}
--- a/recording.go
+++ b/recording.go
@@ -20,6 +20,9 @@
 	// unknown is sent again.
 	minCommitPause = 100 * clock.Millisecond
 	maxCommitPause = 1 * clock.Second
+	// maxOverloads is how often a transaction is refused for the rate of changes before its changes are sent
+	// in smaller ones: the service may allow fewer changes at once than it has.
+	maxOverloads = 3
 	// readPause is the delay before a failed read is retried.
 	readPause = 200 * clock.Millisecond
 )
@@ -44,7 +47,7 @@
 // lost, it sends the identical transaction again: the conditions let it be applied only once, and the
 // nonce shows whether it was. It returns false when the term is over.
 func (l *leader) commit(ctx context.Context, tx *statewriter.Transaction) bool {
-	pause, unknownOutcome := minCommitPause, false
+	pause, unknownOutcome, overloads := minCommitPause, false, 0
 	for ctx.Err() == nil {
 		revision, err := l.store.Commit(ctx, store.Urgent, tx.Txn)
 		if err == nil {
@@ -63,6 +66,15 @@
 		unknownOutcome = unknownOutcome || !errors.Is(err, store.ErrRefused)
 		l.sleep(ctx, pause)
 		pause = min(2*pause, maxCommitPause)
+		if errors.Is(err, store.ErrOverloaded) {
+			overloads++
+		}
+		if overloads >= maxOverloads && !unknownOutcome {
+			l.mu.Lock()
+			l.writer.Overloaded(tx)
+			l.mu.Unlock()
+			return ctx.Err() == nil
+		}
 	}
 	return false
 }
--- a/statewriter/limits.go
+++ b/statewriter/limits.go
@@ -16,8 +16,11 @@
 // currentLimits returns the limits of the next transaction.
 func (w *Writer) currentLimits(capacity Capacity) limits {
 	current := limits{operations: capacity.TxnOps(), valueBytes: capacity.MaxValueBytes()}
+	if w.batchOperations >= current.operations {
+		w.batchOperations = 0
+	}
 	if w.batchOperations > 0 {
-		current.operations = min(current.operations, w.batchOperations)
+		current.operations = w.batchOperations
 	}
 	return current
 }
--- a/statewriter/refusals.go
+++ b/statewriter/refusals.go
@@ -95,6 +95,14 @@
 	w.Requeue(tx, nil)
 }
 
+// Overloaded handles a transaction that the service repeatedly refused for the rate of changes. Its changes
+// are requeued, and the next transactions are smaller: the service refuses one with more changes than its
+// burst for ever, and urgent changes need not wait for one that has to wait.
+func (w *Writer) Overloaded(tx *Transaction) {
+	w.batchOperations = max(1, len(tx.Txn.Operations)/2)
+	w.Requeue(tx, nil)
+}
+
 // noteRefusal notes that a change was refused, alone or with others.
 func (w *Writer) noteRefusal(tx *Transaction, change string, now clock.Micros) {
 	refused := w.refusals[change]
@@ -131,7 +139,7 @@
 		w.endGroup()
 	}
 	if w.batchOperations > 0 && w.group == nil && tx.weight() >= w.batchOperations {
-		w.batchOperations++ // reached only after the service was too busy for a larger transaction
+		w.batchOperations++ // after the service was too busy for a larger transaction
 	}
 	for _, change := range tx.changes {
 		refused := w.refusals[change]
