Cancellations: one that the state service refuses is not taken for a pending one

What could be seen: a cancellation whose transaction the state service refused (400) stayed in the controller's list of those that may have been executed. A leader that the service refuses asks for that list, and stops the tasks of jobs on it for nothing.

Cause: only conflicts and refusals for load took the entry off the list; a refused transaction is not executed either.

Test: TestRefusedCancellationIsNotPending failed before ([j-1] was pending).

--- a/api/cancel.go
+++ b/api/cancel.go
@@ -70,7 +70,7 @@
 		Operations: []wire.Operation{{Delete: store.JobKey(uid)}, {Set: store.FinalKey(uid), Value: final}},
 	})
 	var conflict *store.Conflict
-	if errors.As(err, &conflict) || errors.Is(err, store.ErrRefused) {
+	if errors.As(err, &conflict) || errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrMalformed) {
 		s.Cancellations.Discard(uid)
 	}
 	if err != nil {
--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -283,3 +283,21 @@
 		t.Errorf("%d of 60 tasks run after %v", got, took)
 	}
 }
+
+// Guards against a cancellation that the state service refused, and that the leader takes for one that may
+// have been executed.
+func TestRefusedCancellationIsNotPending(t *testing.T) {
+	cluster, node, leader, _ := clusterWithWorker(t)
+	cluster.submit(node, jobSpec("j-1", nil))
+	cluster.syncAndSettle(leader)
+	cluster.state.RefuseTransactions(func(*wire.Txn) bool { return true })
+	if code, _, _ := cluster.ask(node, http.MethodPost, cancelPath("j-1"), nil); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d for a cancellation that the state service refuses", code)
+	}
+	first := node.store.FirstRevision()
+	if pending, complete := node.users.Cancellations.Since(first, first); len(pending) > 0 || !complete {
+		t.Errorf("pending cancellations %v, complete %t", pending, complete)
+	}
+	cluster.state.RefuseTransactions(nil)
+	cluster.cancelJob(node, "j-1")
+}
