Submissions: batches follow what the state service accepts at once

What callers saw: after the limits fell, every batch of more submissions than a transaction may hold was refused first and then sent one by one, again and again. Where the service allows fewer changes a second than a batch holds (up to 16), all of its submissions got 429 at every attempt, and only single ones were accepted.

Cause: the size of a batch came from the settings alone. The submissions of a refused batch also kept all later ones waiting while they were committed one by one.

Now those of a refused batch are committed one by one after a pause while other batches go on, and if none of them is refused, later batches and the leader's transactions hold half as many. After a batch that the service was too busy for, the next one holds half as many; each accepted one raises that by one.

--- a/api/submitter.go
+++ b/api/submitter.go
@@ -19,6 +19,8 @@
 	maxBatch = 16
 	// maxBatchBytes limits the estimated size of a transaction. The state service accepts 64 KiB.
 	maxBatchBytes = 40 << 10
+	// minTxnOps is the smallest limit of a transaction that refused batches can show.
+	minTxnOps = 3
 	// batchTimeout limits the time to commit a batch of submissions.
 	batchTimeout = 3 * time.Second
 	// maxAdmissionWait limits the time that a submission waits for admission.
@@ -37,6 +39,9 @@
 	mu      sync.Mutex // guards the fields below
 	queue   []*submission
 	running bool // whether a goroutine commits the queue
+	// reducedBatch is how many submissions a batch may hold after the state service was too busy for a
+	// larger one; zero for as many as it allows.
+	reducedBatch int
 }
 
 // submission is a job that is waiting to be made durable.
@@ -117,7 +122,7 @@
 	slices.SortStableFunc(s.queue, func(a, b *submission) int {
 		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.turn, b.turn))
 	})
-	maxLen := min(maxBatch, s.writer.store.TxnOps())
+	maxLen := s.batchLimit()
 	rest, size := s.queue[:0:0], 0
 	inBatch := map[string]bool{}
 	for _, pending := range s.queue {
@@ -135,6 +140,31 @@
 	return batch
 }
 
+// batchLimit returns how many submissions a batch may hold. The caller holds mu.
+func (s *submitter) batchLimit() int {
+	limit := min(maxBatch, s.writer.store.TxnOps())
+	if s.reducedBatch >= limit {
+		s.reducedBatch = 0
+	}
+	if s.reducedBatch > 0 {
+		return s.reducedBatch
+	}
+	return limit
+}
+
+// adaptBatch notes how the state service answered a batch. One that it was too busy for may hold more
+// changes than it allows at once, so that no later attempt would be accepted either.
+func (s *submitter) adaptBatch(size int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case errors.Is(err, store.ErrOverloaded):
+		s.reducedBatch = max(1, size/2)
+	case err == nil && s.reducedBatch > 0 && size >= s.reducedBatch:
+		s.reducedBatch++
+	}
+}
+
 // numberTurns numbers the queued submissions of each team and priority. The caller holds mu.
 func (s *submitter) numberTurns() {
 	type queueKey struct {
@@ -150,32 +180,56 @@
 }
 
 // commit makes a batch durable and reports the result to each submission. If some of the jobs were
-// accepted before, the others are committed without them.
+// accepted before, the others are committed without them. If the state service refuses the batch as
+// malformed, each submission is committed alone, while other batches go on.
 func (s *submitter) commit(batch []*submission) {
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
+	if refused := s.commitBatch(ctx, batch); len(refused) > 0 {
+		go s.commitEach(refused)
+	}
+}
+
+// commitBatch makes a batch durable and reports the result to each submission. If the state service refuses
+// several as malformed, commitBatch returns these without a result.
+func (s *submitter) commitBatch(ctx context.Context, batch []*submission) (refused []*submission) {
 	for len(batch) > 0 {
 		_, err := s.writer.commit(ctx, acceptanceTxn(batch))
+		s.adaptBatch(len(batch), err)
 		if errors.Is(err, store.ErrMalformed) && len(batch) > 1 {
-			// Commit each alone, so that one that the state service rejects does not fail the others.
-			for _, pending := range batch {
-				s.commit([]*submission{pending})
-			}
-			return
+			return batch
 		}
 		var conflict *store.Conflict
 		if !errors.As(err, &conflict) {
 			finish(batch, err)
-			return
+			return nil
 		}
 		known, unknown := splitByConflict(batch, conflict)
 		if len(known) == 0 {
 			finish(batch, store.ErrBadResponse)
-			return
+			return nil
 		}
 		finish(known, err)
 		batch = unknown
 	}
+	return nil
+}
+
+// commitEach commits the submissions of a refused batch one by one after a pause, so that one that the
+// state service refuses does not fail the others. If it refuses none of them, there were too many.
+func (s *submitter) commitEach(batch []*submission) {
+	<-s.writer.clock.After(overloadDelay())
+	refused := false
+	for _, pending := range batch {
+		ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+		_, err := s.writer.commit(ctx, acceptanceTxn([]*submission{pending}))
+		cancel()
+		refused = refused || errors.Is(err, store.ErrMalformed)
+		finish([]*submission{pending}, err)
+	}
+	if !refused {
+		s.writer.store.LowerLimits(max(minTxnOps, len(batch)/2), 0)
+	}
 }
 
 // acceptanceTxn returns the transaction that accepts the jobs of a batch, on condition that none of
--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -246,18 +246,129 @@
 	}
 }
 
-// submitAtOnce submits jobs at the same time and returns the status codes of the responses.
-func (s *testCluster) submitAtOnce(node *Service, uids []string) (codes []int) {
+// submitAtOnce submits jobs that reach the node while the state service does not answer, and returns the
+// status codes of the responses.
+func (s *testCluster) submitAtOnce(node *Service, specs ...wire.Spec) (codes []int) {
 	s.tb.Helper()
-	codes = make([]int, len(uids))
+	codes = make([]int, len(specs))
 	var users sync.WaitGroup
-	for i, uid := range uids {
-		users.Go(func() { codes[i], _, _ = s.ask(node, http.MethodPost, wire.PathJobs, jobSpec(uid, nil)) })
+	release := s.state.Stall()
+	before := s.state.RequestCount()
+	submit := func(i int) {
+		users.Go(func() { codes[i], _, _ = s.ask(node, http.MethodPost, wire.PathJobs, specs[i]) })
 	}
+	submit(0)
+	for s.state.RequestCount() == before { // the others queue behind it
+		time.Sleep(time.Millisecond)
+	}
+	for i := 1; i < len(specs); i++ {
+		submit(i)
+	}
+	time.Sleep(50 * time.Millisecond)
+	release()
 	users.Wait()
 	return codes
 }
 
+// jobSpecs returns single-task jobs with consecutive numbers.
+func jobSpecs(first, count int) (specs []wire.Spec) {
+	for i := range count {
+		specs = append(specs, jobSpec(fmt.Sprintf("j-%d", first+i), nil))
+	}
+	return specs
+}
+
+// Guards against batches of submissions that are refused again and again, since they hold more of them than a
+// transaction may after the limits fell (incident 0033).
+func TestSubmissionsAfterLimitsFall(t *testing.T) {
+	cluster, node, _, _ := clusterWithWorker(t)
+	cluster.submit(node, jobSpec("j-1", nil))
+	cluster.state.SetLimits(standin.StateLimits{Operations: 4, ValueBytes: 32 << 10})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go cluster.runClock(ctx, 20*time.Millisecond)
+	for wave := range 6 {
+		for i, code := range cluster.submitAtOnce(node, jobSpecs(100+20*wave, 20)...) {
+			if code != http.StatusCreated {
+				t.Errorf("job %d of wave %d: status %d", i, wave, code)
+			}
+		}
+	}
+	if got := len(cluster.state.OversizedTransactions()); got > 3 {
+		t.Errorf("%d batches were refused, want at most 3", got)
+	}
+}
+
+// A submission whose record is too large for the state service is refused by itself, and none of those in
+// the same batch are.
+func TestSubmissionTooLargeIsRefusedAlone(t *testing.T) {
+	cluster, node, _, _ := clusterWithWorker(t)
+	cluster.submit(node, jobSpec("j-1", nil))
+	cluster.state.SetLimits(standin.StateLimits{Operations: 24, ValueBytes: 1 << 10})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go cluster.runClock(ctx, 20*time.Millisecond)
+	specs := jobSpecs(100, 12)
+	const large = 6
+	specs[large].MachineTypes = []string{"b"}
+	for k := range 50 {
+		specs[large].MachineTypes = append(specs[large].MachineTypes, fmt.Sprintf("another-machine-type-%d", k))
+	}
+	for i, code := range cluster.submitAtOnce(node, specs...) {
+		want := http.StatusCreated
+		if i == large {
+			want = http.StatusServiceUnavailable
+		}
+		if code != want {
+			t.Errorf("job %d: status %d, want %d", i, code, want)
+		}
+	}
+	if got := node.store.TxnOps(); got != 24 {
+		t.Errorf("transactions of up to %d operations after the refusal of a value", got)
+	}
+}
+
+// Guards against submissions that are never accepted, since a batch holds more changes than the state service
+// allows at once.
+func TestSubmissionsAfterRateFalls(t *testing.T) {
+	cluster, node, _, _ := clusterWithWorker(t)
+	cluster.submit(node, jobSpec("j-1", nil))
+	cluster.state.SetLimits(standin.StateLimits{Operations: 24, ValueBytes: 32 << 10, WriteRPS: 5})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go cluster.runClock(ctx, 20*time.Millisecond)
+	accepted := 0
+	for range 6 {
+		for _, code := range cluster.submitAtOnce(node, jobSpecs(100, 14)...) {
+			if code == http.StatusCreated {
+				accepted++
+			}
+		}
+		cluster.clock.Advance(time.Second)
+	}
+	if accepted < 13 {
+		t.Errorf("%d of 14 submissions were accepted in six attempts", accepted)
+	}
+}
+
+// Guards against a cancellation that the state service refused, and that the leader takes for one that may
+// have been executed.
+func TestRefusedCancellationIsNotPending(t *testing.T) {
+	cluster, node, leader, _ := clusterWithWorker(t)
+	cluster.submit(node, jobSpec("j-1", nil))
+	cluster.syncAndSettle(leader)
+	cluster.state.RefuseTransactions(func(*wire.Txn) bool { return true })
+	if code, _, _ := cluster.ask(node, http.MethodPost, cancelPath("j-1"), nil); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d for a cancellation that the state service refuses", code)
+	}
+	first := node.store.FirstRevision()
+	if pending, complete := node.users.Cancellations.Since(first, first); len(pending) > 0 || !complete {
+		t.Errorf("pending cancellations %v, complete %t", pending, complete)
+	}
+	cluster.state.RefuseTransactions(nil)
+	cluster.cancelJob(node, "j-1")
+}
+
 // Guards against a transaction that holds more changes than the state service allows at once, and that is
 // sent for ever while nothing else is recorded (incident 0032): the rate falls, the size of a transaction
 // does not.
@@ -283,21 +394,3 @@
 		t.Errorf("%d of 60 tasks run after %v", got, took)
 	}
 }
-
-// Guards against a cancellation that the state service refused, and that the leader takes for one that may
-// have been executed.
-func TestRefusedCancellationIsNotPending(t *testing.T) {
-	cluster, node, leader, _ := clusterWithWorker(t)
-	cluster.submit(node, jobSpec("j-1", nil))
-	cluster.syncAndSettle(leader)
-	cluster.state.RefuseTransactions(func(*wire.Txn) bool { return true })
-	if code, _, _ := cluster.ask(node, http.MethodPost, cancelPath("j-1"), nil); code != http.StatusServiceUnavailable {
-		t.Errorf("status %d for a cancellation that the state service refuses", code)
-	}
-	first := node.store.FirstRevision()
-	if pending, complete := node.users.Cancellations.Since(first, first); len(pending) > 0 || !complete {
-		t.Errorf("pending cancellations %v, complete %t", pending, complete)
-	}
-	cluster.state.RefuseTransactions(nil)
-	cluster.cancelJob(node, "j-1")
-}
