Settings: controllers start with the limits to which the state service falls

What operators would have seen: once the settings name the lower limits (values of 2 KiB), every controller refused to start: facts.state.value_kb had to be 8 at least, the size of a full record of a job's tasks.

Cause: that record could not be divided. Now it can be, and the least value_kb is 1, the size of a job's own record with short names, which is the largest that can't be divided. Limits below which some jobs can't be accepted give a warning, the announced ones (state.next), too.

--- a/config/platform_check.go
+++ b/config/platform_check.go
@@ -11,7 +11,7 @@
 
 // Minimum limits of the state service.
 const (
-	MinValueKB = 8 // size of the largest record of a job's tasks
+	MinValueKB = 1 // size of the largest record that can't be divided: a job's own, with short names
 	MinTxnOps  = 3 // operations of the transaction that finishes a job
 )
 
--- a/config/warnings.go
+++ b/config/warnings.go
@@ -11,6 +11,8 @@
 	recommendedSockets   = 256
 	recommendedMemoryMB  = 48
 	recommendedCoreShare = 0.05
+	// recommendedValueKB is the size of a job's record with the longest names and the most machine types.
+	recommendedValueKB = 4
 	// minReportsPerLease is how many heartbeat intervals a worker's lease should span.
 	minReportsPerLease = 3
 	// minReportsToStop is how many heartbeat intervals should remain between the end of a worker's
@@ -21,7 +23,7 @@
 // Warnings returns a message for each setting that is valid but is likely to be a mistake or too small
 // for a large deployment.
 func (p *Platform) Warnings(o *Operator) []string {
-	warnings := slices.Concat(p.Facts.Limits.warnings(), p.timingWarnings(o))
+	warnings := slices.Concat(p.Facts.Limits.warnings(), p.Facts.State.warnings(), p.timingWarnings(o))
 	if !slices.Contains(p.Facts.Zones, p.Area) {
 		warnings = append(warnings, fmt.Sprintf("area: %q is not among facts.zones", p.Area))
 	}
@@ -41,6 +43,25 @@
 	return warnings
 }
 
+// warnings returns a message for each limit, present or announced, that is too low for some work.
+func (s *State) warnings() (warnings []string) {
+	for _, limits := range []struct {
+		field string
+		state State
+	}{{"facts.state", *s}, {"facts.state.next", s.Lowered()}} {
+		if limits.field != "facts.state" && s.Next == nil {
+			break
+		}
+		if limits.state.ValueKB < recommendedValueKB {
+			warnings = append(warnings, fmt.Sprintf("%s.value_kb: %v: jobs with long names or many machine types can't be accepted", limits.field, limits.state.ValueKB))
+		}
+		if limits.state.TxnOps < MinTxnOps {
+			warnings = append(warnings, fmt.Sprintf("%s.txn_ops: %d: finishing a job takes %d", limits.field, limits.state.TxnOps, MinTxnOps))
+		}
+	}
+	return warnings
+}
+
 func (p *Platform) timingWarnings(o *Operator) (warnings []string) {
 	workers := &p.Facts.Workers
 	if workers.LeaseS < minReportsPerLease*workers.ReportS {
