Leader: machine types and demand are recorded in values that fit

What could be seen: machine types that take more than the state service's new limit were never recorded again; controllers then checked submissions with those from before (a job that fits only a new type got 422), or asked the cloud. A change of them whose one write failed, for whatever reason, was not recorded until the next change. A demand record of many classes was refused every ten seconds, so that a new leader began without it.

Cause: both were written whole, in sizes that came from no limit, and the leader forgot that the machine types were still to be written.

Now the machine types are divided over records catalog.NNN where they don't fit (a release that knows none of these finds no types in the first one and asks the cloud, as without a record); a failed write is repeated with the next read, 20 s later, and after a refusal in smaller values. The demand leaves out the classes with the fewest runs.

--- a/autoscaler/autoscaler_test.go
+++ b/autoscaler/autoscaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 
 	"cedardoor/attribution"
@@ -195,11 +196,11 @@
 	}
 	f.add("j-1", func(*wire.Spec) {})
 	f.Demand(f.view(clock.Second))
-	record, due := f.DemandToSave(20 * clock.Second)
+	record, due := f.DemandToSave(20*clock.Second, 8<<10)
 	if !due {
 		t.Fatal("the demand is not due to be recorded")
 	}
-	if _, again := f.DemandToSave(21 * clock.Second); again {
+	if _, again := f.DemandToSave(21*clock.Second, 8<<10); again {
 		t.Error("the demand is due again a second later")
 	}
 	next := newFixture(t)
@@ -208,3 +209,24 @@
 		t.Errorf("restored rate %+v and run times %+v differ from the recorded ones", next.predecessorRate, next.classRuns)
 	}
 }
+
+// Guards against a record of the demand that is too large for lower limits of the state service: the classes
+// with the most runs are kept.
+func TestDemandFitsLimit(t *testing.T) {
+	f := newFixture(t)
+	for k := range 2 * maxSavedClasses {
+		for range 1 + k {
+			f.TaskDone(fmt.Sprintf("class-%03d-%s", k, strings.Repeat("n", 40)), clock.Second)
+		}
+	}
+	f.add("j-1", func(*wire.Spec) {})
+	f.Demand(f.view(clock.Second))
+	const maxBytes = 1 << 10
+	record, _ := f.DemandToSave(20*clock.Second, maxBytes)
+	if got := store.ValueSize(record); got > maxBytes || got < maxBytes*3/4 {
+		t.Errorf("a record of %d bytes, want little less than %d", got, maxBytes)
+	}
+	if most := fmt.Sprintf("class-%03d-%s", 2*maxSavedClasses-1, strings.Repeat("n", 40)); record.Classes[most] == ([2]int64{}) {
+		t.Error("the class with the most runs is left out")
+	}
+}
--- a/autoscaler/demand.go
+++ b/autoscaler/demand.go
@@ -1,6 +1,10 @@
 package autoscaler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"cedardoor/clock"
 	"cedardoor/cloud"
 	"cedardoor/config"
@@ -288,22 +292,34 @@
 )
 
 // DemandToSave returns the arrival rate and run times if they are due to be recorded. Without the
-// record a new leader would mistake its missing history for a lack of work and return machines.
-func (a *Autoscaler) DemandToSave(now clock.Micros) (record store.DemandRecord, due bool) {
+// record a new leader would mistake its missing history for a lack of work and return machines. The
+// classes with the fewest runs are left out of a record that would be larger than maxBytes in the JSON form.
+func (a *Autoscaler) DemandToSave(now clock.Micros, maxBytes int) (record store.DemandRecord, due bool) {
 	if now-a.demandSavedAt <= demandSaveInterval || a.arrivalRate.Cores <= 0 {
 		return record, false
 	}
 	a.demandSavedAt = now
 	record = store.DemandRecord{Cores: a.arrivalRate.Cores, RAM: a.arrivalRate.RAM, Accelerators: a.arrivalRate.Accelerators,
 		Classes: map[string][2]int64{}}
-	for class, runs := range a.classRuns {
-		if len(record.Classes) < maxSavedClasses {
-			record.Classes[class] = [2]int64{int64(runs.Count), int64(runs.Total)}
+	size := record.JSONSize()
+	for _, class := range a.classesByRuns() {
+		runs := [2]int64{int64(a.classRuns[class].Count), int64(a.classRuns[class].Total)}
+		size += store.DemandClassSize(class, runs)
+		if len(record.Classes) >= maxSavedClasses || size > maxBytes {
+			break
 		}
+		record.Classes[class] = runs
 	}
 	return record, true
 }
 
+// classesByRuns returns the classes with run times, those with the most runs first.
+func (a *Autoscaler) classesByRuns() []string {
+	return slices.SortedFunc(maps.Keys(a.classRuns), func(x, y string) int {
+		return cmp.Or(cmp.Compare(a.classRuns[y].Count, a.classRuns[x].Count), cmp.Compare(x, y))
+	})
+}
+
 // RestoreDemand restores the arrival rate and run times that a predecessor recorded.
 func (a *Autoscaler) RestoreDemand(record *store.DemandRecord) {
 	a.predecessorRate = cloud.Load{Cores: record.Cores, RAM: record.RAM, Accelerators: record.Accelerators}
--- a/catalog_cache.go
+++ b/catalog_cache.go
@@ -53,8 +53,8 @@
 
 // readRecorded reads the machine types that a leader recorded.
 func (c *catalogCache) readRecorded(ctx context.Context) (catalog wire.Catalog, found bool) {
-	row, found, err := c.store.Get(ctx, store.Normal, store.KeyCatalog)
-	if err != nil || !found || wire.Unmarshal(row.Value, &catalog) != nil {
+	catalog, _, err := store.ReadCatalog(func(key string) (row wire.Row, found bool, err error) { return c.store.Get(ctx, store.Normal, key) })
+	if err != nil {
 		return wire.Catalog{}, false
 	}
 	return catalog, len(catalog.MachineTypes) > 0
--- a/leader.go
+++ b/leader.go
@@ -45,6 +45,7 @@
 	ctx             context.Context // the term's, for probes started by a heartbeat; set by run
 	loaded          bool            // the records have been read
 	catalogRevision uint64          // of the stored machine types; zero if none are stored
+	values          recordedValues
 	fleet           *fleet.Fleet
 	quota           *quota.Ledger // the only account of the teams' usage
 	jobs            *jobs.Table
--- a/recovery/read.go
+++ b/recovery/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -74,16 +75,17 @@
 // readCatalogAndDemand reads the machine types and the demand. The leader rebuilds them if they
 // can't be decoded.
 func (r *Records) readCatalogAndDemand(ctx context.Context, source Source) error {
-	var catalog wire.Catalog
-	revision, usable, err := r.readRebuilt(ctx, source, store.KeyCatalog, &catalog)
-	if err != nil {
-		return err
-	}
-	if usable {
+	catalog, revision, err := store.ReadCatalog(func(key string) (row wire.Row, found bool, err error) { return source.Get(ctx, store.Urgent, key) })
+	switch {
+	case errors.Is(err, store.ErrBadRecord):
+		r.addDamage(Damage{Key: store.KeyCatalog, Kind: DamageRebuilt, Detail: err.Error()})
+	case err != nil:
+		return fmt.Errorf("read machine types: %w", err)
+	case revision > 0:
 		r.Catalog = &CatalogRow{ModRevision: revision, Catalog: catalog}
 	}
 	var demand store.DemandRecord
-	_, usable, err = r.readRebuilt(ctx, source, store.KeyDemand, &demand)
+	_, usable, err := r.readRebuilt(ctx, source, store.KeyDemand, &demand)
 	if usable {
 		r.Demand = &demand
 	}
--- a/scaling.go
+++ b/scaling.go
@@ -9,7 +9,6 @@
 	"cedardoor/autoscaler"
 	"cedardoor/clock"
 	"cedardoor/cloud"
-	"cedardoor/store"
 	"cedardoor/wire"
 )
 
@@ -73,32 +72,18 @@
 		return err
 	}
 	l.mu.Lock()
-	changed := l.autoscaler.SetCatalog(catalog)
-	recorded := l.catalogRevision != 0
+	if l.autoscaler.SetCatalog(catalog) || l.catalogRevision == 0 {
+		l.values.catalogOutdated = true
+	}
+	outdated := l.values.catalogOutdated
 	l.mu.Unlock()
 	l.wake()
-	if !changed && recorded {
-		return nil
-	}
-	revision, err := l.commitValue(ctx, store.Urgent, store.KeyCatalog, catalog)
-	if err != nil {
-		l.log.Debug("machine types not recorded", "error", err)
-		return nil
+	if outdated {
+		l.recordCatalog(ctx, catalog)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.catalogRevision = revision
 	return nil
 }
 
-// commitValue records a value, on condition that this term's leader record is unchanged.
-func (l *leader) commitValue(ctx context.Context, priority store.Priority, key string, value any) (revision uint64, err error) {
-	return l.store.Commit(ctx, priority, wire.Txn{
-		Conditions: []wire.Condition{{Key: store.KeyLeader, ModRevision: l.term.Revision}},
-		Operations: []wire.Operation{{Set: key, Value: value}},
-	})
-}
-
 // readMachineList reads the cloud's list of machines and passes it to the autoscaler.
 func (l *leader) readMachineList(ctx context.Context) error {
 	machines, err := l.cloud.List(ctx)
@@ -112,19 +97,6 @@
 	return nil
 }
 
-// saveDemand records the arrival rate of work if that is due.
-func (l *leader) saveDemand(ctx context.Context) {
-	l.mu.Lock()
-	record, due := l.autoscaler.DemandToSave(l.clock.Now())
-	l.mu.Unlock()
-	if !due {
-		return
-	}
-	if _, err := l.commitValue(ctx, store.Normal, store.KeyDemand, record); err != nil {
-		l.log.Debug("demand not recorded", "error", err)
-	}
-}
-
 // scalingView returns the autoscaler's input. The caller holds mu.
 func (l *leader) scalingView(now clock.Micros) autoscaler.View {
 	return autoscaler.View{Now: now, Wall: l.clock.Wall(), RunningSince: l.detector.RunningSince(), Jobs: l.jobs, Failures: l.attribution,
--- a/store/errors.go
+++ b/store/errors.go
@@ -7,7 +7,8 @@
 	"cedardoor/wire"
 )
 
-// The errors of requests to the state service. All but ErrCompacted and ErrNoLease are
+// The errors of requests to the state service. All but ErrCompacted, ErrNoLease and
+// ErrBadRecord are
 // wrapped in a RequestError.
 var (
 	// ErrRefused means that the request was not executed.
@@ -23,6 +24,8 @@
 	// ErrCompacted means that the service no longer keeps the changes since the given
 	// revision.
 	ErrCompacted = errors.New("changes since the given revision have been compacted")
+	// ErrBadRecord means that a stored record can't be decoded.
+	ErrBadRecord = errors.New("bad record")
 	// ErrBadResponse means that the service's response was invalid or unexpected.
 	ErrBadResponse = errors.New("bad response from the state service")
 )
