--- a/harness_controllers_test.go
+++ b/harness_controllers_test.go
@@ -145,7 +145,7 @@
 	cfg.Facts = config.Facts{InitialSize: 3, Zones: []string{"x", "y"},
 		Teams:   []config.Team{{Name: "free"}, {Name: "tight", CPUsMax: tightLimit}},
 		Workers: config.Workers{ReportS: timing.report.Seconds(), LeaseS: timing.lease.Seconds(), CancelS: timing.cancel.Seconds()},
-		State:   config.State{RPS: 2000, WriteRPS: 1000, ValueKB: 8, TxnOps: 24},
+		State:   config.State{RPS: 2000, WriteRPS: 1000, ValueKB: 8, TxnOps: 24, Next: s.schedule.announced},
 		Cloud:   config.Cloud{RPS: 100, ListLagS: 2},
 		Limits:  config.Limits{CoreShare: 1, MemMB: 200, FDLimit: 500}}
 	for _, team := range slices.Sorted(maps.Keys(s.schedule.limits)) {
--- a/harness_faults_test.go
+++ b/harness_faults_test.go
@@ -100,6 +100,9 @@
 	case stateRefusesAll:
 		s.state.Refuse("", true)
 		return func() { s.state.Refuse("", false) }
+	case stateLimitsLowered:
+		s.logf("limits %+v", fault.limits)
+		s.state.SetLimits(fault.limits)
 	case controllerKilled:
 		if process := s.runningProcess(controller); process != nil {
 			process.stop()
--- a/harness_schedule_test.go
+++ b/harness_schedule_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cedardoor/config"
 	"cedardoor/internal/standin"
 	"cedardoor/quota"
 	"cedardoor/recovery"
@@ -82,10 +83,11 @@
 	kind       faultKind
 	at         time.Duration // from the start of the schedule
 	duration   time.Duration
-	controller int               // index, or currentLeader
-	machine    int               // index into the machines rented when the fault begins, modulo their number
-	delay      time.Duration     // of kinds that delay something
-	direction  standin.Direction // of kinds that hold messages
+	controller int                 // index, or currentLeader
+	machine    int                 // index into the machines rented when the fault begins, modulo their number
+	delay      time.Duration       // of kinds that delay something
+	direction  standin.Direction   // of kinds that hold messages
+	limits     standin.StateLimits // of stateLimitsLowered
 }
 
 // String describes the fault for the log of a failed simulation.
@@ -119,6 +121,8 @@
 	limits     map[string]float64
 	guarantees map[string]float64
 
+	announced *config.NextState // limits of the state service that the settings announce; nil for none
+
 	timing          workerTiming  // defaultTiming if not set
 	firstLeader     int           // number of the first controller that leads, from 1; 0: any
 	maxMachines     int           // capacity of the cloud; 0: the default of newCloud
--- a/random_schedules_test.go
+++ b/random_schedules_test.go
@@ -16,6 +16,7 @@
 	heldCount          = flag.Uint64("schedules.held", 40, "number of random schedules with held messages to run")
 	oneWayCount        = flag.Uint64("schedules.oneway", 30, "number of random schedules with messages held in one direction to run")
 	savingCount        = flag.Uint64("schedules.saving", 40, "number of random schedules with tasks that save for long to run")
+	limitsCount        = flag.Uint64("schedules.limits", 30, "number of random schedules in which the state service lowers its limits to run")
 	firstSeed          = flag.Uint64("schedules.seed", 0, "seed of the first random schedule")
 )
 
@@ -44,6 +45,17 @@
 	runRandomSchedules(t, *savingCount, randomSavingSchedule)
 }
 
+// Like TestRandomSchedulesWithHeldMessages, with limits of the state service that fall, and more work. Every
+// accepted job must run, and nothing may be refused again and again.
+func TestRandomSchedulesWithLowerLimits(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*limitsCount; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			runSchedule(t, randomLimitsSchedule(seed), (*simulation).checkAfterLimitsFell)
+		})
+	}
+}
+
 // runRandomSchedules runs the schedules of the given number of seeds in parallel.
 func runRandomSchedules(t *testing.T, seeds uint64, newSchedule func(seed uint64) faultSchedule) {
 	for seed := *firstSeed; seed < *firstSeed+seeds; seed++ {
