Leader: a transaction that is refused with any status delays nothing but itself

What callers would see: a transaction that the state service refused again and again with 503 while it served all other requests, with 429 although it held a single change, or with another status such as 413, was sent until the end of the term, and nothing else was recorded.

Cause: only 400 counted as the refusal of a transaction; everything else was taken for an outage or a lost answer.

Now a status from 400 to 499 is a refusal (429 and 409 apart). After three answers of 503 the leader asks for a key: if that is answered, the refusal is the transaction's own. In an outage nothing changes: the same transaction is sent again, and no change pauses after it. A change that the service is too busy for even when alone pauses, so that others go first.

--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -50,6 +50,7 @@
 	stalled         chan struct{} // if not nil, requests wait until it is closed
 	beforeRequest   func(path string)
 	refuse          func(txn *wire.Txn) bool
+	refusalStatus   int // of the transactions that refuse returns true for
 }
 
 // StateLimits are the limits of a state service on transactions.
@@ -267,14 +268,14 @@
 // commit executes a transaction. The caller holds mu.
 func (s *State) commit(transaction wire.Txn) (status int, body any) {
 	s.expireLeases()
-	if s.isOversized(&transaction) {
+	if status := s.refusalStatus(&transaction); status != 0 {
 		s.counts.oversized++
 		var keys []string
 		for _, operation := range transaction.Operations {
 			keys = append(keys, operation.Set+operation.Delete)
 		}
 		s.oversized = append(s.oversized, OversizedTxn{At: s.clock.Now(), Keys: keys})
-		return http.StatusBadRequest, wire.Error{Error: "too large"}
+		return status, wire.Error{Error: "refused"}
 	}
 	if s.writes != nil && !s.writes.AllowN(s.clock.Now(), len(transaction.Operations)) {
 		return http.StatusTooManyRequests, wire.Error{Error: "too many changes"}
--- a/internal/standin/state_limits.go
+++ b/internal/standin/state_limits.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"net/http"
+
 	"cedardoor/store"
 	"cedardoor/wire"
 
@@ -23,9 +25,25 @@
 // RefuseTransactions makes the service refuse, with status 400, the transactions for which refuse returns
 // true.
 func (s *State) RefuseTransactions(refuse func(txn *wire.Txn) bool) {
+	s.RefuseTransactionsWith(http.StatusBadRequest, refuse)
+}
+
+// RefuseTransactionsWith is RefuseTransactions with another status.
+func (s *State) RefuseTransactionsWith(status int, refuse func(txn *wire.Txn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults.refuse = refuse
+	s.faults.refuse, s.faults.refusalStatus = refuse, status
+}
+
+// refusalStatus returns the status with which a transaction is refused, or zero. The caller holds mu.
+func (s *State) refusalStatus(txn *wire.Txn) int {
+	switch {
+	case s.faults.refuse != nil && s.faults.refuse(txn):
+		return s.faults.refusalStatus
+	case s.isOversized(txn):
+		return http.StatusBadRequest
+	}
+	return 0
 }
 
 // OversizedTransactions returns the transactions that were refused for their size or by
@@ -36,15 +54,11 @@
 	return s.oversized[:len(s.oversized):len(s.oversized)]
 }
 
-// isOversized reports whether a transaction is beyond the limits of size, or is to be refused. The caller
-// holds mu.
+// isOversized reports whether a transaction is beyond the limits of size. The caller holds mu.
 func (s *State) isOversized(txn *wire.Txn) bool {
 	if len(txn.Operations) > s.limits.Operations || len(txn.Conditions) > conditionsPerOperation*s.limits.Operations {
 		return true
 	}
-	if s.faults.refuse != nil && s.faults.refuse(txn) {
-		return true
-	}
 	if s.limits.ValueBytes >= defaultLimits.ValueBytes {
 		return false // no test writes larger values, and the sizes take time to determine
 	}
--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -130,6 +130,43 @@
 	}
 }
 
+// Guards against a transaction that the state service refuses with another status than 400 while it serves all
+// other requests, and that keeps all others from being written (incident 0036). An outage, in which it
+// refuses everything, is none of that: no change pauses after it.
+func TestTransactionRefusedOtherwiseDelaysNothingElse(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusRequestEntityTooLarge, http.StatusTooManyRequests} {
+		t.Run(fmt.Sprintf("status %d", status), func(t *testing.T) {
+			cluster, node, leader, worker := clusterWithWorker(t)
+			workers := []*standin.Worker{worker}
+			cluster.submit(node, jobSpec("j-1", smallTasks(3)))
+			cluster.submit(node, jobSpec("j-2", smallTasks(2)))
+			cluster.resync(leader)
+			cluster.state.RefuseTransactionsWith(status, func(txn *wire.Txn) bool {
+				return slices.ContainsFunc(txn.Operations, func(operation wire.Operation) bool { return operation.Set == store.ChunkKey("j-1", 0) })
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			clockStopped := make(chan struct{})
+			go func() { defer close(clockStopped); cluster.runClock(ctx, 20*time.Millisecond) }()
+			passes, stopPasses := context.WithTimeout(t.Context(), 3*time.Second)
+			for range 12 {
+				leader.pass(passes)
+				cluster.resync(leader) // commands wait for it after an interruption of the state service
+				cluster.clock.Advance(200 * time.Millisecond)
+				heartbeat(t, leader, worker)
+				if countLiveTasks(workers, "j-2") == 2 {
+					break
+				}
+			}
+			stopPasses()
+			cancel()
+			<-clockStopped
+			if got := countLiveTasks(workers, "j-2"); got != 2 {
+				t.Errorf("%d of 2 tasks of another job run", got)
+			}
+		})
+	}
+}
+
 // lowerLimits are limits to which a state service falls from 24 operations and 32 KiB.
 var lowerLimits = []standin.StateLimits{
 	{Operations: 8, ValueBytes: 2 << 10},
--- a/recording.go
+++ b/recording.go
@@ -20,9 +20,11 @@
 	// unknown is sent again.
 	minCommitPause = 100 * clock.Millisecond
 	maxCommitPause = 1 * clock.Second
-	// maxOverloads is how often a transaction is refused for the rate of changes before its changes are sent
-	// in smaller ones: the service may allow fewer changes at once than it has.
-	maxOverloads = 3
+	// maxRefusals is how often a transaction is refused before it is found out whether the service refuses
+	// just this one: it may have more changes than the service allows at once.
+	maxRefusals = 3
+	// refusalProbeTimeout bounds the request that finds out whether the service refuses all requests.
+	refusalProbeTimeout = 500 * clock.Millisecond
 	// readPause is the delay before a failed read is retried.
 	readPause = 200 * clock.Millisecond
 )
@@ -47,7 +49,7 @@
 // lost, it sends the identical transaction again: the conditions let it be applied only once, and the
 // nonce shows whether it was. It returns false when the term is over.
 func (l *leader) commit(ctx context.Context, tx *statewriter.Transaction) bool {
-	pause, unknownOutcome, overloads := minCommitPause, false, 0
+	pause, unknownOutcome, refusals := minCommitPause, false, 0
 	for ctx.Err() == nil {
 		revision, err := l.store.Commit(ctx, store.Urgent, tx.Txn)
 		if err == nil {
@@ -63,22 +65,36 @@
 			l.transactionRejected(tx, unknownOutcome, err)
 			return ctx.Err() == nil
 		}
-		unknownOutcome = unknownOutcome || !errors.Is(err, store.ErrRefused)
 		l.sleep(ctx, pause)
 		pause = min(2*pause, maxCommitPause)
-		if errors.Is(err, store.ErrOverloaded) {
-			overloads++
+		if !errors.Is(err, store.ErrRefused) {
+			unknownOutcome = true
 		}
-		if overloads >= maxOverloads && !unknownOutcome {
-			l.mu.Lock()
-			l.writer.Overloaded(tx)
-			l.mu.Unlock()
+		if refusals++; refusals >= maxRefusals && !unknownOutcome && l.requeueRefused(ctx, tx, err) {
 			return ctx.Err() == nil
 		}
 	}
 	return false
 }
 
+// requeueRefused requeues the changes of a transaction that the service has refused again and again with the
+// given error, and reports whether it did. A transaction that is refused like all other requests is sent
+// again as it is.
+func (l *leader) requeueRefused(ctx context.Context, tx *statewriter.Transaction, err error) bool {
+	overloaded := errors.Is(err, store.ErrOverloaded)
+	if !overloaded && !l.store.Answers(ctx, refusalProbeTimeout) {
+		return false
+	}
+	if !overloaded {
+		l.transactionRejected(tx, false, err)
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writer.Overloaded(tx, l.clock.Now())
+	return true
+}
+
 // transactionApplied marks what a transaction made durable: recorded attempts may be started, and
 // workers may forget recorded results.
 func (l *leader) transactionApplied(tx *statewriter.Transaction, revision uint64) {
--- a/statewriter/refusals.go
+++ b/statewriter/refusals.go
@@ -98,13 +98,16 @@
 // Overloaded handles a transaction that the service repeatedly refused for the rate of changes. Its changes
 // are requeued, and the next transactions are smaller: the service refuses one with more changes than its
 // burst for ever, and urgent changes need not wait for one that has to wait.
-func (w *Writer) Overloaded(tx *Transaction) {
+func (w *Writer) Overloaded(tx *Transaction, now clock.Micros) {
 	w.batchOperations = max(1, len(tx.Txn.Operations)/2)
+	if len(tx.changes) == 1 {
+		w.pauseChange(tx.changes[0], now) // others go first: the service may be too busy for this one only
+	}
 	w.Requeue(tx, nil)
 }
 
-// noteRefusal notes that a change was refused, alone or with others.
-func (w *Writer) noteRefusal(tx *Transaction, change string, now clock.Micros) {
+// pauseChange notes that a change was refused, and is not to be sent again before a pause.
+func (w *Writer) pauseChange(change string, now clock.Micros) *refusal {
 	refused := w.refusals[change]
 	if refused == nil {
 		refused = &refusal{pause: minRefusalPause / 2}
@@ -112,6 +115,12 @@
 	}
 	refused.pause = min(2*refused.pause, maxRefusalPause)
 	refused.notBefore = now + refused.pause
+	return refused
+}
+
+// noteRefusal notes that a change was refused for its form, alone or with others.
+func (w *Writer) noteRefusal(tx *Transaction, change string, now clock.Micros) {
+	refused := w.pauseChange(change, now)
 	if len(tx.changes) > 1 {
 		return
 	}
--- a/store/read.go
+++ b/store/read.go
@@ -92,6 +92,14 @@
 	return rows, nil
 }
 
+// Answers sends one request and reports whether the service answers it.
+func (c *Client) Answers(ctx context.Context, timeout clock.Micros) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	_, _, err := c.request(ctx, http.MethodGet, keyPath(KeyLeader), nil)
+	return err == nil
+}
+
 // ProbeRefused sends one request and reports whether the service refuses this node right now.
 // It returns true only after a definite refusal, never for a request without a response.
 func (c *Client) ProbeRefused(ctx context.Context, timeout clock.Micros) bool {
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -31,12 +31,12 @@
 	if err != nil {
 		return 0, err
 	}
-	switch status {
-	case http.StatusOK:
+	switch {
+	case status == http.StatusOK:
 		return c.decodeApplied(raw)
-	case http.StatusConflict:
+	case status == http.StatusConflict:
 		return decodeConflict(raw)
-	case http.StatusBadRequest:
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		err := decodeBadTransaction(raw)
 		if errors.Is(err, ErrMalformed) && c.budget.limits.adoptAnnounced(&txn) {
 			c.budget.applyRates()
