Writer: the size of a refused record and the number of its parts are found apart

The limits were not those announced.

Cause: each refusal of a change that was alone halved both the number of its operations and the size of its values, whichever was the reason, and the size was learned for all records. Values became so small that more parts were needed than a transaction may hold.

Now a refused change first gets fewer operations, and only when it has few, more parts: 2, 3, 4, 6, 8 and so on, so that no feasible number is passed over, and one again after as many as a transaction may hold. What is learned is the size that was accepted. A record is never divided into more parts than that.

TestJobsRunAfterRateFalls ran its clock ahead of the lease's renewals on a busy machine and failed once (58 of 60 tasks after hours of the fake clock); it now waits for them, and reads and reports in between.

--- a/harness_checks_test.go
+++ b/harness_checks_test.go
@@ -89,7 +89,11 @@
 		ready, backingOff := job.CountWaiting(leader.clock.Now())
 		text += fmt.Sprintf("waiting %v (%d ready, %d backing off, on trial %t) of %d queued jobs; ", job.Waiting, ready, backingOff,
 			job.Failures.OnTrial(), leader.jobs.WaitingLen())
+		for _, chunk := range job.Record.Chunks {
+			text += fmt.Sprintf("chunk %+v; ", *chunk)
+		}
 	}
+	text += fmt.Sprintf("to be recorded %+v; ", leader.writer.Backlog())
 	var record store.TokenRecord
 	s.state.Value(store.KeyToken, &record)
 	token, _ := leader.elector.HoldsLease()
--- a/lower_limits_test.go
+++ b/lower_limits_test.go
@@ -151,7 +151,7 @@
 			for range 12 {
 				leader.pass(passes)
 				cluster.resync(leader) // commands wait for it after an interruption of the state service
-				cluster.clock.Advance(200 * time.Millisecond)
+				cluster.advance(200 * time.Millisecond)
 				heartbeat(t, leader, worker)
 				if countLiveTasks(workers, "j-2") == 2 {
 					break
@@ -423,7 +423,9 @@
 	start := cluster.clock.Now()
 	for len(worker.LiveTasks()) < 60 && ctx.Err() == nil {
 		leader.pass(ctx)
-		cluster.clock.Advance(20 * time.Millisecond)
+		cluster.resync(leader)
+		cluster.advance(20 * time.Millisecond)
+		heartbeat(t, leader, worker)
 	}
 	cancel()
 	<-settled
--- a/statewriter/chunks.go
+++ b/statewriter/chunks.go
@@ -57,17 +57,17 @@
 	}
 	if len(parts) > 1 {
 		write.parts = parts
-		tx.divided = true
+		tx.extraParts += len(parts) - 1
 	}
 	tx.records = append(tx.records, write)
 	return true
 }
 
 // divideChunk returns a chunk with its content, or as few parts of it as have records that are small
-// enough.
+// enough, but no more than a transaction can hold.
 func (tx *Transaction) divideChunk(job *jobs.Job, chunk *jobs.Chunk) (parts []*jobs.Chunk, contents []chunkContent) {
 	tasks := chunk.End(len(job.Tasks)) - chunk.First
-	for count := 1; ; count++ {
+	for count := max(1, min(tx.limits.minParts, tasks)); ; count++ {
 		parts, contents = []*jobs.Chunk{chunk}, nil
 		if count > 1 {
 			parts = splitChunk(chunk, tasks, count)
@@ -78,7 +78,7 @@
 			contents = append(contents, content)
 			fit = fit && content.record.JSONSize() <= tx.limits.valueBytes
 		}
-		if fit || count >= tasks {
+		if fit || count >= min(tasks, tx.limits.maxParts) {
 			return parts, contents
 		}
 	}
--- a/statewriter/limits.go
+++ b/statewriter/limits.go
@@ -8,6 +8,8 @@
 type limits struct {
 	operations int
 	valueBytes int // size of a value in the JSON form
+	minParts   int // into how many parts a record is divided at least
+	maxParts   int // and at most
 }
 
 // conditions returns how many conditions a transaction may have.
@@ -16,6 +18,7 @@
 // currentLimits returns the limits of the next transaction.
 func (w *Writer) currentLimits(capacity Capacity) limits {
 	current := limits{operations: capacity.TxnOps(), valueBytes: capacity.MaxValueBytes()}
+	current.maxParts = current.operations
 	if w.batchOperations >= current.operations {
 		w.batchOperations = 0
 	}
--- a/statewriter/refusals.go
+++ b/statewriter/refusals.go
@@ -17,9 +17,6 @@
 	// minOperations is the number of operations below which a transaction is not made smaller: the
 	// move of a done job's record takes as many.
 	minOperations = 3
-	// minValueBytes is the size below which a value is not made smaller: it was refused for another
-	// reason.
-	minValueBytes = 400
 )
 
 // refusal is what is known of a change that the service refused. Such a change is sent alone, after a
@@ -27,9 +24,11 @@
 type refusal struct {
 	pause     clock.Micros
 	notBefore clock.Micros
-	// tried are the limits within which the change is tried once it was refused alone: it may be too
-	// large. They are zero before that.
-	tried limits
+	// operations and parts are the forms in which the change is tried once it was refused alone, as it may
+	// be too large: with at most so many operations and, if these are few, with a record divided into at
+	// least so many parts. They are zero before that.
+	operations int
+	parts      int
 }
 
 // refusedGroup is a refused transaction of several changes. If each of them is accepted alone, there were
@@ -66,10 +65,10 @@
 		return false
 	}
 	tx.alone = true
-	if refused.tried.operations > 0 {
-		tx.limits.operations = min(tx.limits.operations, refused.tried.operations)
-		tx.limits.valueBytes = min(tx.limits.valueBytes, refused.tried.valueBytes)
+	if refused.operations > 0 {
+		tx.limits.operations = min(tx.limits.operations, refused.operations)
 	}
+	tx.limits.minParts = refused.parts
 	return true
 }
 
@@ -124,12 +123,28 @@
 	if len(tx.changes) > 1 {
 		return
 	}
-	refused.tried = limits{operations: max(minOperations, tx.weight()/2), valueBytes: max(minValueBytes, tx.largestValue/2)}
+	if weight := tx.weightUndivided(); weight > minOperations {
+		refused.operations = max(minOperations, weight/2)
+	} else {
+		refused.parts = w.nextParts(refused.parts)
+	}
 	if w.group != nil && w.group.pending[change] {
 		w.endGroup() // this one is the reason, not their number
 	}
 }
 
+// nextParts returns the number of parts to try after a record was refused in the given number of them: first a
+// few more, so that no number that the limits allow is passed over, and one again after as many as
+// a transaction can hold, since the limits may have changed.
+func (w *Writer) nextParts(parts int) int {
+	parts = max(parts, 1)
+	parts += (parts + 2) / 3
+	if parts > w.lastLimits.maxParts {
+		return 1
+	}
+	return parts
+}
+
 // endGroup ends the search for the reason why a transaction of several changes was refused.
 func (w *Writer) endGroup() { w.group, w.batchOperations = nil, 0 }
 
@@ -170,12 +185,10 @@
 
 // learn notes the limits within which a change was accepted that had been refused alone.
 func (w *Writer) learn(tx *Transaction, refused *refusal) {
-	if refused.tried.operations == 0 {
-		return
-	}
-	if tx.divided {
-		w.learned.valueBytes = refused.tried.valueBytes
-	} else if tx.weight() >= refused.tried.operations {
-		w.learned.operations = refused.tried.operations
+	switch {
+	case refused.parts > 1 && tx.extraParts > 0:
+		w.learned.valueBytes = tx.largestValue
+	case refused.operations > 0 && tx.weight() >= refused.operations:
+		w.learned.operations = refused.operations
 	}
 }
--- a/statewriter/refusals_test.go
+++ b/statewriter/refusals_test.go
@@ -334,3 +334,42 @@
 		}
 	}
 }
+
+// Guards against a change that is never written since it is divided into more parts than a transaction may
+// hold, or into too few, where neither limit is known (found by a random schedule): whatever the
+// limits are, records that fit within them are found.
+func TestRecordsFitUnknownLimits(t *testing.T) {
+	for _, txnOps := range []int{3, 4, 5, 8, 24} {
+		for _, valueBytes := range []int{1200, 2 << 10, 3 << 10, 8 << 10} {
+			for _, believed := range []capacity{{txnOps: 24}, {txnOps: 8, valueBytes: 3 << 10}, {txnOps: 4, valueBytes: 1 << 10}} {
+				believed.spare = 24
+				t.Run(fmt.Sprintf("%d operations, %d bytes, believed %+v", txnOps, valueBytes, believed), func(t *testing.T) {
+					t.Parallel()
+					checkUnknownLimits(t, newService(txnOps, valueBytes), believed)
+				})
+			}
+		}
+	}
+}
+
+// checkUnknownLimits checks that chunks and shared records are written within the limits of a service.
+func checkUnknownLimits(t *testing.T, s *service, believed capacity) {
+	f := newFixture(t)
+	f.w.lastLimits = limits{operations: 24, valueBytes: testValueKB << 10}
+	var placed []*jobs.Job
+	for k := range 60 {
+		placed = append(placed, f.add(fmt.Sprintf("j-%06d", k), 1, "standard"))
+	}
+	for _, uid := range []string{"j-1", "j-2", "j-3"} {
+		placed = append(placed, f.add(uid, 151, "standard"))
+	}
+	for _, job := range placed {
+		for i := range job.Tasks {
+			f.place(job, i)
+		}
+	}
+	if !f.run(s, believed, 20*clock.Second) {
+		t.Errorf("still to be recorded: %+v, refused %v", f.w.Backlog(), s.refusals)
+	}
+	checkDurable(t, placed)
+}
--- a/statewriter/shared.go
+++ b/statewriter/shared.go
@@ -73,6 +73,14 @@
 	hasRow bool
 }
 
+// size returns the size of the entry's row in the JSON form.
+func (e *sharedEntry) size() int {
+	if !e.hasRow {
+		return 0
+	}
+	return e.row.JSONSize()
+}
+
 // addShared adds a write of a shared record that has changed, at most once per transaction. As with
 // chunks, each attempt that becomes durable is conditional on its own job's record. A record that is too
 // large is divided: some of its jobs get new shared records in the same transaction. addShared returns
@@ -109,7 +117,7 @@
 	}
 	if len(parts) > 1 {
 		write.sharedParts = parts
-		tx.divided = true
+		tx.extraParts += len(parts) - 1
 	}
 	tx.records = append(tx.records, write)
 	return true
@@ -186,13 +194,17 @@
 // divideShared distributes the content of a shared record over as many records as it needs: the record
 // itself, and new ones.
 func (w *Writer) divideShared(tx *Transaction, shared *jobs.SharedRecord, excluded map[*jobs.Job]bool) (parts []*sharedPart) {
+	entries, total := sharedEntries(shared, excluded), 0
+	for _, entry := range entries {
+		total += entry.size()
+	}
 	room := tx.limits.valueBytes - store.SharedRecord{Nonce: tx.nonce}.JSONSize()
+	if minParts := tx.limits.minParts; minParts > 1 {
+		room = min(room, (total+minParts-1)/minParts)
+	}
 	part := &sharedPart{shared: shared}
-	for _, entry := range sharedEntries(shared, excluded) {
-		size := 0
-		if entry.hasRow {
-			size = entry.row.JSONSize()
-		}
+	for _, entry := range entries {
+		size := entry.size()
 		if part.size > 0 && part.size+size > room {
 			parts = append(parts, part)
 			part = &sharedPart{shared: w.newShared()}
--- a/statewriter/transaction.go
+++ b/statewriter/transaction.go
@@ -31,7 +31,8 @@
 	size    int      // estimated, in bytes
 	changes []string // the changes that it makes: those of each can be sent without the others
 	alone   bool     // it may hold no other change than its first, which was refused before
-	divided bool     // it writes a record in several parts
+	// extraParts is how many operations more it takes since records are divided.
+	extraParts int
 	// largestValue is the estimated size of the largest value of a divisible record.
 	largestValue int
 
@@ -118,8 +119,16 @@
 }
 
 // weight returns how many operations the service must allow for the transaction.
-func (tx *Transaction) weight() int {
-	return max(len(tx.Txn.Operations), (len(tx.Txn.Conditions)+conditionsPerOperation-1)/conditionsPerOperation)
+func (tx *Transaction) weight() int { return max(len(tx.Txn.Operations), tx.weightOfConditions()) }
+
+// weightOfConditions returns how many operations the service must allow for the transaction's conditions.
+func (tx *Transaction) weightOfConditions() int {
+	return (len(tx.Txn.Conditions) + conditionsPerOperation - 1) / conditionsPerOperation
+}
+
+// weightUndivided is weight as if no record were divided.
+func (tx *Transaction) weightUndivided() int {
+	return max(len(tx.Txn.Operations)-tx.extraParts, tx.weightOfConditions())
 }
 
 // full reports whether the transaction has no room for another chunk, which takes one operation and
--- a/statewriter/writer.go
+++ b/statewriter/writer.go
@@ -66,7 +66,7 @@
 // are kept as long as hasUnreadable reports that unreadable tasks of the job may run somewhere.
 func New(term uint64, state config.State, hasUnreadable func(job *jobs.Job) bool) *Writer {
 	return &Writer{term: term, hasUnreadable: hasUnreadable,
-		lastLimits:  limits{operations: state.TxnOps, valueBytes: state.ValueBytes()},
+		lastLimits:  limits{operations: state.TxnOps, valueBytes: state.ValueBytes(), maxParts: state.TxnOps},
 		resultDelay: min(maxResultDelay, clock.FromSeconds(resultDelayWrites/state.WriteRPS)),
 		dirty:       map[string]bool{}, pendingResults: map[string]clock.Micros{}, staleShared: map[*jobs.SharedRecord]bool{},
 		refusals: map[string]*refusal{}}
