Leader: whether one transaction or all requests are refused is asked before the pause

After an outage the answer would else have come from after its end, and each change of the transaction that waited would have been sent alone (read, not seen).

--- a/recording.go
+++ b/recording.go
@@ -65,34 +65,30 @@
 			l.transactionRejected(tx, unknownOutcome, err)
 			return ctx.Err() == nil
 		}
+		unknownOutcome = unknownOutcome || !errors.Is(err, store.ErrRefused)
+		overloaded := errors.Is(err, store.ErrOverloaded)
+		refusals++
+		refusedOften := refusals >= maxRefusals && !unknownOutcome
+		if refusedOften && !overloaded && l.store.Answers(ctx, refusalProbeTimeout) {
+			// The service refuses this transaction, not every request as in an outage.
+			l.transactionRejected(tx, unknownOutcome, err)
+			return ctx.Err() == nil
+		}
 		l.sleep(ctx, pause)
 		pause = min(2*pause, maxCommitPause)
-		if !errors.Is(err, store.ErrRefused) {
-			unknownOutcome = true
-		}
-		if refusals++; refusals >= maxRefusals && !unknownOutcome && l.requeueRefused(ctx, tx, err) {
+		if refusedOften && overloaded {
+			l.transactionOverloads(tx)
 			return ctx.Err() == nil
 		}
 	}
 	return false
 }
 
-// requeueRefused requeues the changes of a transaction that the service has refused again and again with the
-// given error, and reports whether it did. A transaction that is refused like all other requests is sent
-// again as it is.
-func (l *leader) requeueRefused(ctx context.Context, tx *statewriter.Transaction, err error) bool {
-	overloaded := errors.Is(err, store.ErrOverloaded)
-	if !overloaded && !l.store.Answers(ctx, refusalProbeTimeout) {
-		return false
-	}
-	if !overloaded {
-		l.transactionRejected(tx, false, err)
-		return true
-	}
+// transactionOverloads requeues the changes of a transaction for which the service is too busy.
+func (l *leader) transactionOverloads(tx *statewriter.Transaction) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.writer.Overloaded(tx, l.clock.Now())
-	return true
 }
 
 // transactionApplied marks what a transaction made durable: recorded attempts may be started, and
