Wire: the length of a value is compared with the rest of the body before it is decoded

Cause: the library takes memory for a text, or for a value that is skipped, before it has read it, and the pooled decoders keep it.

Now the lengths in a field's value are checked against the body first, with one pass over its bytes; what nobody reads is skipped by the size that this pass found, no longer by the library.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -46,6 +46,7 @@
 	*msgpack.Decoder
 	input bytes.Reader // unread part of body; the decoder has no buffer of its own
 	body  []byte
+	value []byte // encoding of the current field's value
 	key   [maxShortKey]byte
 }
 
@@ -66,11 +67,24 @@
 	return key, d.ReadFull(key)
 }
 
-// skipRaw skips the next value and returns its encoding as a subslice of the body.
+// readValue finds the end of the next value, and checks that all lengths in it are true.
+func (d *fieldDecoder) readValue() error {
+	rest := d.body[len(d.body)-d.input.Len():]
+	size, err := encodedSize(rest)
+	d.value = rest[:size]
+	return err
+}
+
+// skipRaw skips the current field's value and returns its encoding as a subslice of the body.
 func (d *fieldDecoder) skipRaw() ([]byte, error) {
-	start := len(d.body) - d.input.Len()
-	err := d.Skip()
-	return d.body[start : len(d.body)-d.input.Len()], err
+	_, err := d.input.Seek(int64(len(d.value)), io.SeekCurrent)
+	return d.value, err
+}
+
+// skip skips the current field's value.
+func (d *fieldDecoder) skip() error {
+	_, err := d.skipRaw()
+	return err
 }
 
 // decodeFields calls decode for each field of a body, which must be a map. decode must decode or skip
@@ -79,7 +93,7 @@
 	d := fieldDecoders.Get().(*fieldDecoder)
 	defer func() {
 		d.input.Reset(nil)
-		d.body = nil
+		d.body, d.value = nil, nil
 		fieldDecoders.Put(d)
 	}()
 	d.body = body
@@ -94,6 +108,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: a key is not text", ErrMalformed)
 		}
+		if err := d.readValue(); err != nil {
+			return fmt.Errorf("%w: field %s: %w", ErrMalformed, key, err)
+		}
 		if err := decode(d, key); err != nil {
 			return fmt.Errorf("%w: field %s: %w", ErrMalformed, key, err)
 		}
--- a/wire/decode_heartbeat.go
+++ b/wire/decode_heartbeat.go
@@ -44,7 +44,7 @@
 	case "pieces":
 		h.RawTasks, err = d.skipRaw()
 	default:
-		err = d.Skip()
+		err = d.skip()
 	}
 	return err
 }
--- a/wire/decode_spec.go
+++ b/wire/decode_spec.go
@@ -56,7 +56,7 @@
 				return specFields[i].decode(&spec, d.Decoder)
 			}
 		}
-		return d.Skip()
+		return d.skip()
 	})
 	if err != nil {
 		return Spec{}, err
@@ -79,7 +79,7 @@
 	// The error is ignored, because the id may have been decoded before it occurred.
 	_ = decodeFields(body, func(d *fieldDecoder, key []byte) (err error) {
 		if string(key) != "uid" {
-			return d.Skip()
+			return d.skip()
 		}
 		uid, err = decodeText(d.Decoder)
 		return err
