Writer: no limit is learned from the refusal of a small record

A record of a few bytes that was refused for a reason of its own, and accepted later, would have been taken for one that was too large, and for ten minutes all records would have been divided down to its size (about 100 bytes). Records of up to 512 bytes are not divided now, and no smaller limit is learned.

TestRefusedChangeIsSentAgain asks for it and failed before. The number of conditions for each operation stands once (store.ConditionsPerOperation).

--- a/internal/standin/state_limits.go
+++ b/internal/standin/state_limits.go
@@ -9,9 +9,6 @@
 	"golang.org/x/time/rate"
 )
 
-// conditionsPerOperation is how many conditions a transaction may have for each operation that it may have.
-const conditionsPerOperation = 4
-
 // SetLimits sets the limits that apply from now on. What is stored stays readable.
 func (s *State) SetLimits(limits StateLimits) {
 	s.mu.Lock()
@@ -56,7 +53,7 @@
 
 // isOversized reports whether a transaction is beyond the limits of size. The caller holds mu.
 func (s *State) isOversized(txn *wire.Txn) bool {
-	if len(txn.Operations) > s.limits.Operations || len(txn.Conditions) > conditionsPerOperation*s.limits.Operations {
+	if len(txn.Operations) > s.limits.Operations || len(txn.Conditions) > store.ConditionsPerOperation*s.limits.Operations {
 		return true
 	}
 	if s.limits.ValueBytes >= defaultLimits.ValueBytes {
--- a/statewriter/limits.go
+++ b/statewriter/limits.go
@@ -1,8 +1,6 @@
 package statewriter
 
-// conditionsPerOperation is how many conditions a transaction may have for each operation that the service
-// allows.
-const conditionsPerOperation = 4
+import "cedardoor/store"
 
 // limits bound one transaction.
 type limits struct {
@@ -13,7 +11,7 @@
 }
 
 // conditions returns how many conditions a transaction may have.
-func (l limits) conditions() int { return conditionsPerOperation * l.operations }
+func (l limits) conditions() int { return store.ConditionsPerOperation * l.operations }
 
 // currentLimits returns the limits of the next transaction.
 func (w *Writer) currentLimits(capacity Capacity) limits {
--- a/statewriter/refusals.go
+++ b/statewriter/refusals.go
@@ -17,6 +17,9 @@
 	// minOperations is the number of operations below which a transaction is not made smaller: the
 	// move of a done job's record takes as many.
 	minOperations = 3
+	// minDividedBytes is the size up to which a record is not divided after a refusal: it was refused for
+	// another reason.
+	minDividedBytes = 512
 )
 
 // refusal is what is known of a change that the service refused. Such a change is sent alone, after a
@@ -123,10 +126,13 @@
 	if len(tx.changes) > 1 {
 		return
 	}
-	if weight := tx.weightUndivided(); weight > minOperations {
+	switch weight := tx.weightUndivided(); {
+	case weight > minOperations:
 		refused.operations = max(minOperations, weight/2)
-	} else {
+	case tx.largestValue > minDividedBytes:
 		refused.parts = w.nextParts(refused.parts)
+	default:
+		refused.parts = 0
 	}
 	if w.group != nil && w.group.pending[change] {
 		w.endGroup() // this one is the reason, not their number
@@ -187,7 +193,7 @@
 func (w *Writer) learn(tx *Transaction, refused *refusal) {
 	switch {
 	case refused.parts > 1 && tx.extraParts > 0:
-		w.learned.valueBytes = tx.largestValue
+		w.learned.valueBytes = max(minDividedBytes, tx.largestValue)
 	case refused.operations > 0 && tx.weight() >= refused.operations:
 		w.learned.operations = refused.operations
 	}
--- a/statewriter/refusals_test.go
+++ b/statewriter/refusals_test.go
@@ -54,6 +54,7 @@
 	records            map[string]any
 	revision           uint64
 	refusals           map[string][]clock.Micros // by key, when transactions that write it were refused
+	learned            bool                      // whether the writer has learned a limit
 }
 
 func newService(txnOps, valueBytes int) *service {
@@ -121,6 +122,7 @@
 		}
 		f.apply(tx, s.revision)
 		txnOps, valueBytes := f.w.Learned()
+		s.learned = s.learned || txnOps > 0 || valueBytes > 0
 		if txnOps > 0 {
 			c.txnOps = txnOps
 		}
@@ -191,7 +193,7 @@
 }
 
 // Guards against a change that is never sent again: once the service accepts the key, the change is
-// recorded within the longest pause.
+// recorded within the longest pause. That a small record was refused shows nothing about its limits.
 func TestRefusedChangeIsSentAgain(t *testing.T) {
 	f := newFixture(t)
 	s := newService(testTxnOps, testValueKB<<10)
@@ -204,6 +206,9 @@
 		t.Errorf("still to be recorded: %+v", f.w.Backlog())
 	}
 	checkDurable(t, []*jobs.Job{job})
+	if s.learned {
+		t.Error("a limit was learned from the refusal of a small record")
+	}
 }
 
 // recordedAttempts returns the attempts of tasks that the records of a service hold, and fails if a task
--- a/statewriter/transaction.go
+++ b/statewriter/transaction.go
@@ -123,7 +123,7 @@
 
 // weightOfConditions returns how many operations the service must allow for the transaction's conditions.
 func (tx *Transaction) weightOfConditions() int {
-	return (len(tx.Txn.Conditions) + conditionsPerOperation - 1) / conditionsPerOperation
+	return (len(tx.Txn.Conditions) + store.ConditionsPerOperation - 1) / store.ConditionsPerOperation
 }
 
 // weightUndivided is weight as if no record were divided.
--- a/store/limits.go
+++ b/store/limits.go
@@ -12,9 +12,9 @@
 // tried.
 const raiseInterval = 10 * time.Minute
 
-// conditionsPerOperation is how many conditions a transaction may have for each operation that the
+// ConditionsPerOperation is how many conditions a transaction may have for each operation that the
 // service allows.
-const conditionsPerOperation = 4
+const ConditionsPerOperation = 4
 
 // limits are the limits that the service is believed to have. They begin as in the settings. The service
 // may lower them at any time: to those that the settings announce, or to others, which only refused
@@ -59,7 +59,7 @@
 
 // exceeds reports whether a transaction is beyond limits.
 func exceeds(txn *wire.Txn, state config.State) bool {
-	if len(txn.Operations) > state.TxnOps || len(txn.Conditions) > conditionsPerOperation*state.TxnOps {
+	if len(txn.Operations) > state.TxnOps || len(txn.Conditions) > ConditionsPerOperation*state.TxnOps {
 		return true
 	}
 	for _, operation := range txn.Operations {
