--- a/statewriter/refusals_test.go
+++ b/statewriter/refusals_test.go
@@ -302,19 +302,20 @@
 				f := newFixture(t)
 				s := newService(testTxnOps, testValueKB<<10)
 				job := f.add("j-1", tasks, "standard")
-				f.machine = f.fleet.Ensure("n-"+strings.Repeat("0", 20), 0)
-				for i := range 250 {
-					f.place(job, i)
+				place := func(from, to int) {
+					for i := from; i < to; i++ { // each on a machine of its own, so that 2 KiB are too few
+						f.machine = f.fleet.Ensure(fmt.Sprintf("n-%s%03d", strings.Repeat("0", 17), i), 0)
+						f.place(job, i)
+					}
 				}
+				place(0, 250)
 				if !f.run(s, ampleCapacity, clock.Second) {
 					t.Fatal("not recorded within the high limits")
 				}
 				for i := range 100 {
 					f.finish(job, 2*i)
 				}
-				for i := 250; i < tasks; i++ {
-					f.place(job, i)
-				}
+				place(250, tasks)
 				s.valueBytes = valueBytes
 				low := ampleCapacity
 				if tt.announced {
