--- a/review/rig2/cloud.go
+++ b/review/rig2/cloud.go
@@ -42,6 +42,18 @@
 	return &cloud{cluster: c, types: types, capacity: capacity, rentals: map[string][]string{}}
 }
 
+// inZone returns the first machine in a zone.
+func (c *cloud) inZone(zone string) (machine wire.Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.machines {
+		if h.info.Zone == zone {
+			return h.info
+		}
+	}
+	return machine
+}
+
 // booted returns the names of the machines of a type whose workers run.
 func (c *cloud) booted(sku string) (names []string) {
 	c.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,9 +26,8 @@
 	play    func(c *cluster) (broken []string, err error)
 }
 
-var cases = map[string]aCase{
-	"preempted": {preemptedOptions, playPreempted},
-}
+// cases are the cases by name; each file of a case adds its own.
+var cases = map[string]aCase{}
 
 func main() { os.Exit(run()) }
 
--- a/review/rig2/preempted.go
+++ b/review/rig2/preempted.go
@@ -18,6 +18,8 @@
 	urgentJob  = "j-000003"
 )
 
+func init() { cases["preempted"] = aCase{preemptedOptions, playPreempted} }
+
 func preemptedOptions() options {
 	return options{
 		teams: []config.Team{{Name: "nutrition"}, {Name: "storefront"}, {Name: "warehouse", CPUsMax: teamLimit}},
--- a/review/rig2/tracker.go
+++ b/review/rig2/tracker.go
@@ -21,9 +21,12 @@
 	limits     map[string]float64 // of cores, by team
 	running    map[string]map[string]time.Time
 	started    map[string]int // how often a task was started
+	ended      map[string]int // how often an attempt of a task has ended
 	completed  map[string]bool
 	cancelled  map[string]time.Time // when users were told that a job is cancelled
-	failing    map[string]bool      // jobs whose tasks fail on every machine
+	sick       map[string]bool      // machines that fail every task that they start
+	slow       map[string]float64   // factors of the run times on slow machines
+	acceptedOn map[string]string    // the machine that last accepted a task
 	violations []string
 	// cancelLimit is how long after a cancellation its tasks may be on machines.
 	cancelLimit time.Duration
@@ -39,8 +42,8 @@
 
 func newTracker(rec *record) *tracker {
 	return &tracker{record: rec, jobs: map[string]wire.Spec{}, runTimes: map[string]time.Duration{}, limits: map[string]float64{},
-		running: map[string]map[string]time.Time{}, started: map[string]int{}, completed: map[string]bool{}, cancelled: map[string]time.Time{},
-		failing: map[string]bool{}, machines: map[string]*host{}}
+		running: map[string]map[string]time.Time{}, started: map[string]int{}, ended: map[string]int{}, completed: map[string]bool{}, cancelled: map[string]time.Time{},
+		sick: map[string]bool{}, slow: map[string]float64{}, acceptedOn: map[string]string{}, machines: map[string]*host{}}
 }
 
 func (t *tracker) submitted(spec wire.Spec) {
@@ -63,6 +66,13 @@
 	return t.started[task]
 }
 
+// ends returns how many attempts of a task have ended.
+func (t *tracker) ends(task string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended[task]
+}
+
 // violate notes a broken rule. The caller holds mu.
 func (t *tracker) violate(rule, format string, args ...any) {
 	text := rule + ": " + fmt.Sprintf(format, args...)
@@ -113,6 +123,7 @@
 		}
 		go t.checkStart(e, places)
 	case standin.EventEnded:
+		t.ended[e.Task]++
 		if _, ran := t.running[e.Task][e.Machine]; ran {
 			t.add("run    %s#%d ends on %s: %s", e.Task, e.Attempt, e.Machine, e.Cause)
 			delete(t.running[e.Task], e.Machine)
@@ -184,7 +195,11 @@
 }
 
 // Accepted implements standin.Observer.
-func (t *tracker) Accepted(*standin.Machine, string) {}
+func (t *tracker) Accepted(m *standin.Machine, task string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.acceptedOn[task] = m.Info.UID
+}
 
 // Started implements standin.Observer.
 func (t *tracker) Started(*standin.Machine, string) {}
@@ -196,10 +211,14 @@
 	if t.completed[task] {
 		return 0
 	}
-	if d, set := t.runTimes[jobOf(task)]; set {
-		return d
+	d, set := t.runTimes[jobOf(task)]
+	if !set {
+		d = 20 * time.Second
+	}
+	if factor := t.slow[t.acceptedOn[task]]; factor > 0 {
+		return time.Duration(factor * float64(d))
 	}
-	return 20 * time.Second
+	return d
 }
 
 // Completed implements standin.Observer.
@@ -210,8 +229,30 @@
 }
 
 // Fails implements standin.Observer.
-func (t *tracker) Fails(_ *standin.Machine, task string) bool {
+func (t *tracker) Fails(m *standin.Machine, _ string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.failing[jobOf(task)]
+	return t.sick[m.Info.UID]
+}
+
+// setSick sets whether a machine fails every task that it starts.
+func (t *tracker) setSick(machine string, sick bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sick[machine] = sick
+}
+
+// setSlow sets by which factor a machine runs its tasks slower; 0 for not at all.
+func (t *tracker) setSlow(machine string, factor float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow[machine] = factor
+}
+
+// hasRoom reports whether a machine has room for one more task of a job.
+func (t *tracker) hasRoom(machine string, spec *wire.Spec) bool {
+	t.mu.Lock()
+	h := t.machines[machine]
+	t.mu.Unlock()
+	return h != nil && h.machine.HasRoom(spec)
 }
